--- /dev/null
+++ b/configuration/src/main/kotlin/org/ibismoor/configuration/api/Upstream.kt
@@ -0,0 +1,19 @@
+/**
+ * An upstream process: a model engine or a worker of a plain service. [baseUrl] names scheme, IP number and port.
+ */
+package org.ibismoor.configuration.api
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.UpstreamGroupId
+import org.ibismoor.core.api.UpstreamId
+
+@Serializable
+data class Upstream(
+    val id: UpstreamId,
+    val group: UpstreamGroupId,
+    val domain: FailureDomainId,
+    val baseUrl: String,
+    val checksFencing: Boolean = false,
+    val supportsResume: Boolean = false,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/ibismoor/core/api/BodyDigest.kt
@@ -0,0 +1,14 @@
+/**
+ * Lower-case hexadecimal SHA-256 of a request body. It tells a retry from another request under the same key.
+ */
+package org.ibismoor.core.api
+
+import kotlinx.serialization.Serializable
+
+@Serializable
+@JvmInline
+value class BodyDigest(val text: String) : Comparable<BodyDigest> {
+    override fun compareTo(other: BodyDigest): Int = text.compareTo(other.text)
+
+    override fun toString(): String = text
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ibismoor/core/api/Outcome.kt
@@ -0,0 +1,20 @@
+/**
+ * What is known about the execution of a refused or failed request. `NOT_RUN` is a promise that no upstream executed
+ * it.
+ */
+package org.ibismoor.core.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+@Serializable
+enum class Outcome(val text: String) {
+    @SerialName("not_run")
+    NOT_RUN("not_run"),
+
+    @SerialName("may_have_run")
+    MAY_HAVE_RUN("may_have_run"),
+
+    @SerialName("ran")
+    RAN("ran"),
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ibismoor/core/api/ReplicaId.kt
@@ -0,0 +1,24 @@
+/**
+ * Name of one control replica: its failure domain and the epoch of its data folder. A replaced disk gets the next
+ * epoch, so a replica that lost its state can never be taken for the one that remembers. Text form: `norte-1.2`.
+ */
+package org.ibismoor.core.api
+
+import kotlinx.serialization.Serializable
+
+@Serializable
+data class ReplicaId(val domain: FailureDomainId, val epoch: Int) : Comparable<ReplicaId> {
+    override fun compareTo(other: ReplicaId): Int = compareValuesBy(this, other, { it.domain }, { it.epoch })
+
+    override fun toString(): String = "$domain.$epoch"
+
+    companion object {
+        /** Reads the text form; null if [text] is not `<domain>.<epoch>` with a positive epoch. */
+        fun parse(text: String): ReplicaId? {
+            val domain = text.substringBeforeLast('.', "")
+            val epoch = text.substringAfterLast('.').toIntOrNull()
+            val isValid = domain.isNotEmpty() && epoch != null && epoch >= 1
+            return if (isValid) ReplicaId(FailureDomainId(domain), checkNotNull(epoch)) else null
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ibismoor/core/api/RequestKey.kt
@@ -0,0 +1,10 @@
+/**
+ * Identity of a request: the organisation and the idempotency key that the caller chose or a router minted. Charges
+ * and claims are keyed by it, never by attempt.
+ */
+package org.ibismoor.core.api
+
+import kotlinx.serialization.Serializable
+
+@Serializable
+data class RequestKey(val organisation: OrganisationId, val key: String)
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/FleetCommand.kt
@@ -0,0 +1,63 @@
+/**
+ * A command of the replicated log. Applying it changes the fleet tables in the same way on every control replica.
+ */
+package org.ibismoor.ledger.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.ibismoor.configuration.api.ConfigurationDelta
+import org.ibismoor.core.api.AttemptId
+import org.ibismoor.core.api.BodyDigest
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.RequestKey
+import org.ibismoor.core.api.WallTime
+
+@Serializable
+sealed interface FleetCommand
+
+/** Puts the configuration of [delta] in force. [digest] identifies the whole content that the operator sent. */
+@Serializable
+@SerialName("publish")
+data class Publish(val delta: ConfigurationDelta, val digest: String) : FleetCommand
+
+/**
+ * Charges and counters of one replica. [sequence] grows by one with each batch, so a repeated batch is ignored.
+ */
+@Serializable
+@SerialName("merge")
+data class MergeCharges(
+    val replica: ReplicaId,
+    val sequence: Long,
+    val charges: List<ChargeRow>,
+    val counters: List<ShareReport>,
+) : FleetCommand
+
+/** Moves tokens from the pool to shares. An issue that the pool does not cover is cut to what it covers. */
+@Serializable
+@SerialName("issue")
+data class IssueShares(val issues: List<ShareIssue>) : FleetCommand
+
+/** Claims a plain key for [attempt]. */
+@Serializable
+@SerialName("claim")
+data class ClaimKey(
+    val key: RequestKey,
+    val attempt: AttemptId,
+    val body: BodyDigest,
+    val claimedAt: WallTime,
+) : FleetCommand
+
+/** Records that the claimed request ran and which status it answered. */
+@Serializable
+@SerialName("complete_claim")
+data class CompleteClaim(val key: RequestKey, val attempt: AttemptId, val status: Int) : FleetCommand
+
+/** Releases a claim whose attempt was not dispatched. */
+@Serializable
+@SerialName("release_claim")
+data class ReleaseClaim(val key: RequestKey, val attempt: AttemptId) : FleetCommand
+
+/** Writes off the shares of [old] after its disk was lost. */
+@Serializable
+@SerialName("replace_replica")
+data class ReplaceReplica(val old: ReplicaId, val new: ReplicaId) : FleetCommand
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/ShareNeed.kt
@@ -0,0 +1,11 @@
+/**
+ * A need of one replica for more tokens of a budget. [expected] is the use that it expects in the coming seconds and
+ * [urgent] what a waiting reservation lacks, in budget tokens.
+ */
+package org.ibismoor.ledger.api
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.BudgetId
+
+@Serializable
+data class ShareNeed(val budget: BudgetId, val expected: Long, val urgent: Long)
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/api/RouterRow.kt
@@ -0,0 +1,19 @@
+/**
+ * A router as the fleet knows it. [baseUrl] is the address that callers use.
+ */
+package org.ibismoor.membership.api
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.SessionId
+
+@Serializable
+data class RouterRow(
+    val id: RouterId,
+    val session: SessionId,
+    val domain: FailureDomainId,
+    val baseUrl: String,
+    val state: RouterState,
+    val inFlight: Int,
+)
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/api/UpstreamReport.kt
@@ -0,0 +1,18 @@
+/**
+ * Last load report of an upstream. [ageMillis] is the time since the upstream made it; [startId] changes when the
+ * upstream restarts, which ends an earlier leaving state.
+ */
+package org.ibismoor.membership.api
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.UpstreamId
+
+@Serializable
+data class UpstreamReport(
+    val upstream: UpstreamId,
+    val running: Int,
+    val waiting: Int,
+    val isLeaving: Boolean,
+    val startId: String,
+    val ageMillis: Long,
+)
--- /dev/null
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/LedgerAuthority.kt
@@ -0,0 +1,8 @@
+/**
+ * The control process that a ledger request goes to.
+ */
+package org.ibismoor.routing.api
+
+import org.ibismoor.core.api.FailureDomainId
+
+data class LedgerAuthority(val domain: FailureDomainId)
