--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/Call.kt
@@ -0,0 +1,28 @@
+/**
+ * A request of a caller in a scenario. [apiKey] is the text of the API key, [key] the caller's idempotency key.
+ */
+package org.ibismoor.scenario.api
+
+sealed interface Call {
+    val apiKey: String
+    val key: String
+}
+
+/** A chat completion: bounds and true sizes in tokens. */
+data class ChatCall(
+    override val apiKey: String,
+    override val key: String,
+    val model: String,
+    val promptTokens: Long,
+    val answerTokens: Long,
+    val answerTokenBound: Int,
+) : Call
+
+/** A call of a plain service. */
+data class ServiceCall(
+    override val apiKey: String,
+    override val key: String,
+    val route: String,
+    val method: String,
+    val path: String,
+) : Call
