Add the API of a control replica

Cause: the control process is written while the parts of the replica are. Change: the sources of module fleet, not yet in the build. Result: not compiled yet. Conclusion: it joins the build when its parts have landed.

--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
@@ -0,0 +1,49 @@
+/**
+ * Makes the machine of a control replica and restores its tables.
+ */
+package org.ibismoor.fleet.api
+
+import org.ibismoor.consensus.api.ConsensusRecord
+import org.ibismoor.consensus.api.restoreConsensus
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.TickMachine
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.fleet.internal.ControlMachine
+import org.ibismoor.fleet.internal.replay
+import org.ibismoor.ledger.api.DomainRecord
+import org.ibismoor.ledger.api.initialShareTables
+import org.ibismoor.ledger.api.restoreDomainLedger
+import org.ibismoor.membership.api.initialMembershipTables
+
+/** The machine of a control replica. [codec] gives the format of commands and snapshots. */
+fun createControl(
+    codec: FleetCodec,
+    settings: ControlSettings = ControlSettings(),
+): TickMachine<ControlTables, ControlMessage, ControlEffect> = ControlMachine(codec, settings)
+
+/**
+ * The tables of [replica] after a start from the records of its two logs, in the order in which they were written.
+ */
+fun restoreControl(
+    replica: ReplicaId,
+    logs: ControlLogs,
+    codec: FleetCodec,
+    settings: ControlSettings,
+    seed: Long,
+    now: Timestamp,
+): ControlTables {
+    val restored = restoreConsensus(replica, logs.consensus, seed, now)
+    val replayed = replay(restored, codec)
+    return ControlTables(
+        replica = replica,
+        consensus = restored.tables,
+        fleet = replayed.fleet,
+        ledger = restoreDomainLedger(replica, logs.ledger, replayed.fleet, now),
+        shares = initialShareTables(),
+        membership = initialMembershipTables(replica, settings.membership, now),
+        appliedIndex = replayed.index,
+    )
+}
+
+/** The records of the two logs of a control replica. */
+data class ControlLogs(val consensus: List<ConsensusRecord>, val ledger: List<DomainRecord>)
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlMessage.kt
@@ -0,0 +1,58 @@
+/**
+ * What drives a control replica beside the passing of time. A `reply` number names the exchange that waits for an answer;
+ * the effect that answers it carries the same number.
+ */
+package org.ibismoor.fleet.api
+
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.consensus.api.ConsensusMessage
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.SessionId
+import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.ledger.api.FleetCommand
+import org.ibismoor.ledger.api.LedgerRequest
+import org.ibismoor.membership.api.DomainSummary
+import org.ibismoor.membership.api.Heartbeat
+import org.ibismoor.membership.api.UpstreamReport
+
+interface ControlMessage
+
+/** A consensus message from another replica. */
+data class ConsensusReceived(val from: ReplicaId, val message: ConsensusMessage) : ControlMessage
+
+/** A batch of ledger requests from a router; answered by [AnswerLedger]. */
+data class LedgerReceived(val reply: Long, val session: SessionId, val requests: List<LedgerRequest>) : ControlMessage
+
+/** A heartbeat of a router; answered by [AnswerRouter]. */
+data class RouterBeat(val reply: Long, val heartbeat: Heartbeat) : ControlMessage
+
+/**
+ * A publication. [configuration] carries its number and [digest] identifies its content; answered by
+ * [AnswerPublication].
+ */
+data class PublicationReceived(val reply: Long, val configuration: ConfigurationTables, val digest: String) :
+    ControlMessage
+
+/** A command that another replica forwards to this one as the leader; answered by [AnswerCommand]. */
+data class CommandReceived(val reply: Long, val command: FleetCommand) : ControlMessage
+
+/** The answer to [ForwardCommand] number [forward]; the result is null if it is not known. */
+data class ForwardAnswered(val forward: Long, val answer: CommandAnswer) : ControlMessage
+
+/** A message about shares from another replica. */
+data class PeerReceived(val from: ReplicaId, val message: PeerMessage) : ControlMessage
+
+/** The state of another failure domain. */
+data class DomainSummarised(val summary: DomainSummary) : ControlMessage
+
+/** An upstream of this domain answered the poll for its load. */
+data class UpstreamAnswered(val report: UpstreamReport) : ControlMessage
+
+/** An upstream of this domain did not answer the poll for its load. */
+data class UpstreamSilent(val upstream: UpstreamId) : ControlMessage
+
+/** The platform's list of leaving VMs, by name or base URL. */
+data class PlatformAnswered(val leaving: Set<String>) : ControlMessage
+
+/** Hand leadership over before a shutdown. */
+data object ShutdownRequested : ControlMessage
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
@@ -0,0 +1,37 @@
+/**
+ * The whole state of one control replica: the tables of its parts, the commands under way, and the messages that one system
+ * left for the next pass of the same tick.
+ */
+package org.ibismoor.fleet.api
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.consensus.api.ConsensusTables
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.WallTime
+import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.ledger.api.DomainLedgerTables
+import org.ibismoor.ledger.api.FleetTables
+import org.ibismoor.ledger.api.ShareTables
+import org.ibismoor.membership.api.MembershipTables
+
+data class ControlTables(
+    val replica: ReplicaId,
+    val consensus: ConsensusTables,
+    val fleet: FleetTables,
+    val ledger: DomainLedgerTables,
+    val shares: ShareTables,
+    val membership: MembershipTables,
+    val appliedIndex: Long = 0,
+    val isLeading: Boolean = false,
+    val inForce: InForce? = null,
+    val proposals: ProposalTables = ProposalTables(),
+    val growth: LogGrowth = LogGrowth(),
+    val inbox: PersistentList<ControlMessage> = persistentListOf(),
+)
+
+/** The highest configuration number that every live router has reported, and when that was seen. */
+data class InForce(val number: ConfigurationNumber, val at: WallTime)
+
+/** How much was written since the last snapshot and since the last rewrite of the ledger's log. */
+data class LogGrowth(val entries: Int = 0, val characters: Long = 0, val ledgerRecords: Int = 0)
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ConsensusPart.kt
@@ -0,0 +1,60 @@
+/**
+ * The consensus as a part of the control replica.
+ */
+package org.ibismoor.fleet.internal
+
+import org.ibismoor.consensus.api.ConsensusEffect
+import org.ibismoor.consensus.api.ConsensusInput
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.ConsensusTables
+import org.ibismoor.consensus.api.EntriesCommitted
+import org.ibismoor.consensus.api.MessageReceived
+import org.ibismoor.consensus.api.PersistRecords
+import org.ibismoor.consensus.api.ProposalAppended
+import org.ibismoor.consensus.api.ProposalRefused
+import org.ibismoor.consensus.api.Propose
+import org.ibismoor.consensus.api.ReachMembers
+import org.ibismoor.consensus.api.ReadConfirmed
+import org.ibismoor.consensus.api.RestoreSnapshot
+import org.ibismoor.consensus.api.SendMessage
+import org.ibismoor.consensus.api.SnapshotTaken
+import org.ibismoor.consensus.api.TransferLeadership
+import org.ibismoor.consensus.api.createConsensus
+import org.ibismoor.fleet.api.ConsensusReceived
+import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.fleet.api.SendConsensus
+import org.ibismoor.fleet.api.ShutdownRequested
+import org.ibismoor.fleet.api.SyncConsensus
+
+internal class ConsensusPart(settings: ConsensusSettings) : Part<ConsensusTables, ConsensusInput, ConsensusEffect> {
+    override val machine = createConsensus(settings)
+
+    override fun tables(control: ControlTables): ConsensusTables = control.consensus
+
+    override fun with(control: ControlTables, tables: ConsensusTables): ControlTables = control.copy(consensus = tables)
+
+    override fun read(control: ControlTables, message: ControlMessage): List<ConsensusInput> =
+        listOfNotNull(
+            when (message) {
+                is ConsensusReceived -> MessageReceived(message.from, message.message)
+                is ProposalMade -> Propose(message.proposal, message.payload)
+                is SnapshotMade -> SnapshotTaken(message.index, message.payload)
+                is MembersWanted -> ReachMembers(message.replicas)
+                is ShutdownRequested -> TransferLeadership
+                else -> null
+            },
+        )
+
+    override fun write(control: ControlTables, effect: ConsensusEffect): Translation =
+        when (effect) {
+            is PersistRecords -> Translation.effect(SyncConsensus(effect.records))
+            is SendMessage -> Translation.effect(SendConsensus(effect.to, effect.message))
+            is EntriesCommitted -> Translation.message(EntriesReady(effect.entries))
+            is RestoreSnapshot -> Translation.message(SnapshotReady(effect.index, effect.payload))
+            is ProposalAppended ->
+                Translation.message(ProposalPlaced(effect.proposal, effect.index, effect.term))
+            is ProposalRefused -> Translation.message(ProposalFailed(effect.proposal, effect.leader))
+            is ReadConfirmed -> Translation.NONE
+        }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ControlStep.kt
@@ -0,0 +1,10 @@
+/**
+ * Step of a system of the control replica.
+ */
+package org.ibismoor.fleet.internal
+
+import org.ibismoor.core.api.Step
+import org.ibismoor.fleet.api.ControlEffect
+import org.ibismoor.fleet.api.ControlTables
+
+internal typealias ControlStep = Step<ControlTables, ControlEffect>
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/DomainLedgerPart.kt
@@ -0,0 +1,76 @@
+/**
+ * The domain ledger as a part of the control replica.
+ */
+package org.ibismoor.fleet.internal
+
+import org.ibismoor.fleet.api.AnswerLedger
+import org.ibismoor.fleet.api.BudgetsExhausted
+import org.ibismoor.fleet.api.CommandCommitted
+import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.fleet.api.LedgerOrigin
+import org.ibismoor.fleet.api.LedgerReceived
+import org.ibismoor.fleet.api.PeerMessage
+import org.ibismoor.fleet.api.PeerReceived
+import org.ibismoor.fleet.api.PendingCommand
+import org.ibismoor.fleet.api.ReturnAsked
+import org.ibismoor.fleet.api.SharesNeeded
+import org.ibismoor.fleet.api.SyncLedger
+import org.ibismoor.ledger.api.AnswerBatch
+import org.ibismoor.ledger.api.AppendRecords
+import org.ibismoor.ledger.api.CommandFinished
+import org.ibismoor.ledger.api.DomainLedgerEffect
+import org.ibismoor.ledger.api.DomainLedgerMessage
+import org.ibismoor.ledger.api.DomainLedgerSettings
+import org.ibismoor.ledger.api.DomainLedgerTables
+import org.ibismoor.ledger.api.FleetAdvanced
+import org.ibismoor.ledger.api.ProposeCommand
+import org.ibismoor.ledger.api.RequestShares
+import org.ibismoor.ledger.api.RequestsReceived
+import org.ibismoor.ledger.api.ReturnRequested
+import org.ibismoor.ledger.api.SessionHeard
+import org.ibismoor.ledger.api.createDomainLedger
+
+internal class DomainLedgerPart(settings: DomainLedgerSettings) :
+    Part<DomainLedgerTables, DomainLedgerMessage, DomainLedgerEffect> {
+    override val machine = createDomainLedger(settings)
+
+    override fun tables(control: ControlTables): DomainLedgerTables = control.ledger
+
+    override fun with(control: ControlTables, tables: DomainLedgerTables): ControlTables =
+        control.copy(ledger = tables)
+
+    override fun read(control: ControlTables, message: ControlMessage): List<DomainLedgerMessage> =
+        listOfNotNull(
+            when (message) {
+                is LedgerReceived -> RequestsReceived(message.reply, message.session, message.requests)
+                is RouterSeen -> SessionHeard(message.session)
+                is FleetMoved -> FleetAdvanced(control.fleet, message.changed)
+                is CommandAnswered -> finished(message)
+                is PeerReceived -> readPeer(message.message)
+                else -> null
+            },
+        )
+
+    private fun finished(message: CommandAnswered): DomainLedgerMessage? {
+        val result = (message.answer as? CommandCommitted)?.result
+        val isOwn = message.pending.origin == LedgerOrigin
+        return if (isOwn) CommandFinished(message.pending.command, result) else null
+    }
+
+    private fun readPeer(message: PeerMessage): DomainLedgerMessage? =
+        when (message) {
+            is ReturnAsked -> ReturnRequested(message.budget, message.amount)
+            is BudgetsExhausted -> org.ibismoor.ledger.api.BudgetsExhausted(message.budgets)
+            is SharesNeeded -> null
+        }
+
+    override fun write(control: ControlTables, effect: DomainLedgerEffect): Translation =
+        when (effect) {
+            is AppendRecords -> Translation.effect(SyncLedger(effect.records))
+            is AnswerBatch -> Translation.effect(AnswerLedger(effect.batch, effect.answers))
+            is ProposeCommand ->
+                Translation.message(CommandSubmitted(PendingCommand(LedgerOrigin, effect.command)))
+            is RequestShares -> toLeader(control, SharesNeeded(effect.needs))
+        }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
@@ -0,0 +1,35 @@
+/**
+ * Brings the group of control replicas to the declared members. Only the leader acts. A declared replica with a later epoch
+ * replaces the earlier one of its domain, whose shares are written off.
+ */
+package org.ibismoor.fleet.internal
+
+import kotlinx.collections.immutable.plus
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.TickSystem
+import org.ibismoor.fleet.api.AllocatorOrigin
+import org.ibismoor.fleet.api.ControlEffect
+import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.fleet.api.PendingCommand
+import org.ibismoor.ledger.api.ReplaceReplica
+
+internal class MemberSystem : TickSystem<ControlTables, ControlMessage, ControlEffect> {
+    override fun run(tables: ControlTables, tick: Tick<ControlMessage>): ControlStep {
+        val isDue = tick.messages.any { it is LeadershipMoved || it is FleetMoved && it.isConfigurationChanged }
+        val declared = tables.fleet.configuration.controlMembers.keys
+        if (!isDue || !tables.isLeading || declared.isEmpty()) return ControlStep(tables)
+        val messages = replacements(tables, declared) + MembersWanted(declared.sorted())
+        return ControlStep(tables.copy(inbox = tables.inbox + messages))
+    }
+
+    /** Writing off the same replica twice changes nothing, so a new leader may repeat it. */
+    private fun replacements(tables: ControlTables, declared: Set<ReplicaId>): List<ControlMessage> {
+        val known = tables.fleet.mergedSequences.keys + tables.consensus.members.map { it.replica }
+        return declared.flatMap { new ->
+            known.filter { it.domain == new.domain && it.epoch < new.epoch }
+                .map { CommandSubmitted(PendingCommand(AllocatorOrigin, ReplaceReplica(it, new))) }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/PeerDelivery.kt
@@ -0,0 +1,21 @@
+/**
+ * Delivers messages about shares: within this replica as a message of the next pass, otherwise as an effect.
+ */
+package org.ibismoor.fleet.internal
+
+import org.ibismoor.consensus.api.status
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.fleet.api.PeerMessage
+import org.ibismoor.fleet.api.PeerReceived
+import org.ibismoor.fleet.api.SendPeer
+
+internal fun deliver(control: ControlTables, to: ReplicaId, message: PeerMessage): Translation =
+    when (to) {
+        control.replica -> Translation.message(PeerReceived(control.replica, message))
+        else -> Translation.effect(SendPeer(to, message))
+    }
+
+/** Delivers to the leader. Without a known leader the message is lost; the sender asks again when its timer is due. */
+internal fun toLeader(control: ControlTables, message: PeerMessage): Translation =
+    control.consensus.status().leader?.let { deliver(control, it, message) } ?: Translation.NONE
--- /dev/null
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/SharesPart.kt
@@ -0,0 +1,58 @@
+/**
+ * The share allocator as a part of the control replica. It acts only at the leader.
+ */
+package org.ibismoor.fleet.internal
+
+import org.ibismoor.fleet.api.AllocatorOrigin
+import org.ibismoor.fleet.api.BudgetsExhausted
+import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.fleet.api.PeerReceived
+import org.ibismoor.fleet.api.PendingCommand
+import org.ibismoor.fleet.api.ReturnAsked
+import org.ibismoor.fleet.api.SharesNeeded
+import org.ibismoor.ledger.api.AnswerNeeds
+import org.ibismoor.ledger.api.AskReturn
+import org.ibismoor.ledger.api.FleetObserved
+import org.ibismoor.ledger.api.IssueTokens
+import org.ibismoor.ledger.api.LeadershipChanged
+import org.ibismoor.ledger.api.NeedsReceived
+import org.ibismoor.ledger.api.ShareEffect
+import org.ibismoor.ledger.api.ShareMessage
+import org.ibismoor.ledger.api.ShareSizingPolicy
+import org.ibismoor.ledger.api.ShareTables
+import org.ibismoor.ledger.api.createShareAllocator
+
+internal class SharesPart(policy: ShareSizingPolicy) : Part<ShareTables, ShareMessage, ShareEffect> {
+    override val machine = createShareAllocator(policy)
+
+    override fun tables(control: ControlTables): ShareTables = control.shares
+
+    override fun with(control: ControlTables, tables: ShareTables): ControlTables = control.copy(shares = tables)
+
+    override fun read(control: ControlTables, message: ControlMessage): List<ShareMessage> =
+        when (message) {
+            is LeadershipMoved -> leadership(control, message.isLeading)
+            is FleetMoved -> listOf(FleetObserved(control.fleet, message.changed))
+            is PeerReceived -> listOfNotNull(needs(message))
+            else -> emptyList()
+        }
+
+    private fun leadership(control: ControlTables, isLeading: Boolean): List<ShareMessage> =
+        when {
+            isLeading ->
+                listOf(LeadershipChanged(true), FleetObserved(control.fleet, control.fleet.budgets.keys))
+            else -> listOf(LeadershipChanged(false))
+        }
+
+    private fun needs(message: PeerReceived): ShareMessage? =
+        (message.message as? SharesNeeded)?.let { NeedsReceived(message.from, it.needs) }
+
+    override fun write(control: ControlTables, effect: ShareEffect): Translation =
+        when (effect) {
+            is IssueTokens ->
+                Translation.message(CommandSubmitted(PendingCommand(AllocatorOrigin, effect.command)))
+            is AskReturn -> deliver(control, effect.replica, ReturnAsked(effect.budget, effect.amount))
+            is AnswerNeeds -> deliver(control, effect.replica, BudgetsExhausted(effect.exhausted))
+        }
+}
