--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/Call.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/Call.kt
@@ -6,6 +6,9 @@
 sealed interface Call {
     val apiKey: String
     val key: String
+
+    /** Whether the declared rules let the call run again. */
+    val isIdempotent: Boolean
 }
 
 /** A chat completion: bounds and true sizes in tokens. */
@@ -16,7 +19,9 @@
     val promptTokens: Long,
     val answerTokens: Long,
     val answerTokenBound: Int,
-) : Call
+) : Call {
+    override val isIdempotent: Boolean get() = true
+}
 
 /** A call of a plain service. */
 data class ServiceCall(
@@ -25,4 +30,5 @@
     val route: String,
     val method: String,
     val path: String,
+    override val isIdempotent: Boolean,
 ) : Call
--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
@@ -0,0 +1,105 @@
+/**
+ * Delivers messages of a scenario to its processes, and lets heartbeats and timeouts happen.
+ */
+package org.ibismoor.scenario.internal
+
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.SessionId
+import org.ibismoor.fleet.api.CommandUnknown
+import org.ibismoor.fleet.api.ForwardAnswered
+import org.ibismoor.fleet.api.RouterBeat
+import org.ibismoor.membership.api.Heartbeat
+import org.ibismoor.membership.api.RouterRow
+import org.ibismoor.membership.api.RouterState
+import org.ibismoor.routing.api.ConfigurationChanged
+import org.ibismoor.routing.api.ControlHeard
+import org.ibismoor.routing.api.LedgerAuthority
+import org.ibismoor.routing.api.LedgerFailed
+
+internal const val BEAT_MILLIS = 1_000L
+
+internal class DeliverySystem {
+    fun handle(world: World, event: WorldEvent): World =
+        when (event) {
+            is ToReplica -> toReplica(world, event)
+            is ToRouter -> toRouter(world, event)
+            is BeatDue -> beat(world, event.router, event.session)
+            is BeatAnswered -> beatAnswered(world, event)
+            is ReplyTimedOut -> timedOut(world, event.reply)
+            else -> world
+        }
+
+    private fun toReplica(world: World, event: ToReplica): World {
+        val host = world.replicas.getValue(event.replica.domain)
+        if (host.replica != event.replica || host.tables == null) return world
+        val next = host.copy(waiting = host.waiting.add(event.message))
+        return world.copy(replicas = world.replicas.put(event.replica.domain, next))
+    }
+
+    private fun toRouter(world: World, event: ToRouter): World {
+        val host = running(world, event.router, event.session) ?: return world
+        val next = host.copy(waiting = host.waiting.add(event.message))
+        return world.copy(routers = world.routers.put(event.router, next))
+    }
+
+    private fun beat(world: World, id: RouterId, session: SessionId): World {
+        val host = running(world, id, session) ?: return world
+        val next = world.after(BEAT_MILLIS, BeatDue(id, session))
+        if (host.isFrozen) return next
+        val replica = world.replicas.getValue(host.domain).replica
+        val reply = next.nextNumber
+        val row = BeatReply(id, session, host.domain)
+        return next.copy(nextNumber = reply + 1, replies = next.replies.put(reply, row))
+            .send(host.domain, host.domain, ToReplica(replica, RouterBeat(reply, heartbeat(host))))
+    }
+
+    private fun heartbeat(host: RouterHost): Heartbeat =
+        Heartbeat(
+            router = RouterRow(
+                id = host.id,
+                session = host.session,
+                domain = host.domain,
+                baseUrl = "http://${host.id}",
+                state = if (host.isDraining) RouterState.DRAINING else RouterState.SERVING,
+                inFlight = 0,
+            ),
+            configuration = host.configuration.number,
+            routerListVersion = host.routerListVersion,
+            reportVersion = host.reportVersion,
+        )
+
+    private fun beatAnswered(world: World, event: BeatAnswered): World {
+        val host = running(world, event.router, event.session) ?: return world
+        if (host.isFrozen) return world.after(BEAT_MILLIS, event)
+        val merged = host.with(event.answer)
+        val observed = when {
+            merged.configuration.number < host.configuration.number ->
+                world.observed.violated("router ${host.id} went back to ${merged.configuration.number}")
+            else -> world.observed
+        }
+        val heard = ControlHeard(LedgerAuthority(host.domain))
+        val isChanged = merged.configuration.number != host.configuration.number
+        val changes = if (isChanged) listOf(ConfigurationChanged(merged.configuration)) else emptyList()
+        val next = merged.copy(waiting = merged.waiting.addAll(changes + heard))
+        return world.copy(routers = world.routers.put(host.id, next), observed = observed)
+    }
+
+    private fun running(world: World, id: RouterId, session: SessionId): RouterHost? =
+        world.routers.getValue(id).takeIf { it.tables != null && it.session == session }
+
+    private fun timedOut(world: World, reply: Long): World {
+        val row = world.replies[reply] ?: return world
+        val next = world.copy(replies = world.replies.remove(reply))
+        return when (row) {
+            is LedgerReply -> {
+                val failure = LedgerFailed(row.request, row.authority, isDelivered = true)
+                next.after(0, ToRouter(row.router, row.session, failure))
+            }
+            is ForwardReply -> {
+                val target = next.replicas.getValue(row.domain).replica
+                next.after(0, ToReplica(target, ForwardAnswered(row.forward, CommandUnknown)))
+            }
+            is BeatReply, is PublicationReply -> next
+        }
+    }
+}
--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -0,0 +1,50 @@
+/**
+ * Processes of a running scenario. A process without tables is down; a frozen one lets messages wait.
+ */
+package org.ibismoor.scenario.internal
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.consensus.api.ConsensusRecord
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.SessionId
+import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.ledger.api.ChargeRecord
+import org.ibismoor.ledger.api.ChargeRow
+import org.ibismoor.ledger.api.DomainRecord
+import org.ibismoor.routing.api.RoutingMessage
+import org.ibismoor.routing.api.RoutingTables
+
+/** A control process with its disk. */
+internal data class ReplicaHost(
+    val replica: ReplicaId,
+    val tables: ControlTables?,
+    val consensusLog: PersistentList<ConsensusRecord>,
+    val ledgerLog: PersistentList<DomainRecord> = persistentListOf(),
+    val isFrozen: Boolean = false,
+    val waiting: PersistentList<ControlMessage> = persistentListOf(),
+) {
+    /** Charges on the disk of this process. */
+    val charges: List<ChargeRow> get() = ledgerLog.filterIsInstance<ChargeRecord>().map { it.charge }
+}
+
+/** A router process. [starts] counts its starts, so that each run has a session of its own. */
+internal data class RouterHost(
+    val id: RouterId,
+    val domain: FailureDomainId,
+    val number: Int,
+    val starts: Int = 0,
+    val tables: RoutingTables? = null,
+    val configuration: ConfigurationTables = ConfigurationTables(),
+    val routerListVersion: Long = 0,
+    val reportVersion: Long = 0,
+    val isDraining: Boolean = false,
+    val isFrozen: Boolean = false,
+    val waiting: PersistentList<RoutingMessage> = persistentListOf(),
+) {
+    val session: SessionId get() = SessionId("$id-$starts")
+}
--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/RouterSystem.kt
@@ -0,0 +1,120 @@
+/**
+ * Runs the routers of a scenario and carries out their effects on the network, the upstreams and the callers.
+ */
+package org.ibismoor.scenario.internal
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.core.api.Outcome
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.TickMachine
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.WallTime
+import org.ibismoor.fleet.api.LedgerReceived
+import org.ibismoor.routing.api.AskLedger
+import org.ibismoor.routing.api.AttemptFailed
+import org.ibismoor.routing.api.AttemptFailure
+import org.ibismoor.routing.api.CancelAttempt
+import org.ibismoor.routing.api.CountEvent
+import org.ibismoor.routing.api.Dispatch
+import org.ibismoor.routing.api.DrainFinished
+import org.ibismoor.routing.api.LedgerFailed
+import org.ibismoor.routing.api.Refuse
+import org.ibismoor.routing.api.Release
+import org.ibismoor.routing.api.RoutingEffect
+import org.ibismoor.routing.api.RoutingMessage
+import org.ibismoor.routing.api.RoutingTables
+
+private const val LEDGER_TIMEOUT_MILLIS = 1_000L
+private const val CONNECT_FAILURE_MILLIS = 20L
+private const val CALLER_RETRY_MILLIS = 300L
+private const val CALLER_ATTEMPTS = 6
+
+internal class RouterSystem(
+    private val machine: (RouterHost) -> TickMachine<RoutingTables, RoutingMessage, RoutingEffect>,
+) {
+    fun run(world: World): World = world.routers.keys.sorted().fold(world, ::runHost)
+
+    /** Time of the earliest due work of all routers. */
+    fun nextDue(world: World): Timestamp? =
+        world.routers.values.filter { !it.isFrozen }.mapNotNull { host -> host.tables?.let(machine(host)::nextDue) }
+            .minOrNull()
+
+    private fun runHost(world: World, id: RouterId): World {
+        val host = world.routers.getValue(id)
+        val tables = host.tables ?: return world
+        val isDue = machine(host).nextDue(tables)?.let { it <= world.now } ?: false
+        if (host.isFrozen || host.waiting.isEmpty() && !isDue) return world
+        val step = machine(host).run(tables, Tick(world.now, WallTime(world.now.millis), host.waiting))
+        val next = host.copy(tables = step.tables, waiting = persistentListOf())
+        val moved = world.copy(routers = world.routers.put(id, next))
+        return step.effects.fold(moved) { state, effect -> perform(state, next, effect) }
+    }
+
+    private fun perform(world: World, host: RouterHost, effect: RoutingEffect): World =
+        when (effect) {
+            is AskLedger -> ask(world, host, effect)
+            is Dispatch -> dispatch(world, host, effect)
+            is Release -> released(world, effect.stream.value)
+            is Refuse -> refused(world, effect)
+            is CancelAttempt -> cancelled(world, effect.stream.value)
+            is CountEvent, is DrainFinished -> world
+        }
+
+    /** A control process that is down or cut off is noticed at once as not connected. */
+    private fun ask(world: World, host: RouterHost, effect: AskLedger): World {
+        val target = world.replicas.getValue(effect.authority.domain)
+        val isReachable = target.tables != null && !world.isCut(host.domain, effect.authority.domain)
+        if (!isReachable) {
+            val failure = LedgerFailed(effect.request, effect.authority, isDelivered = false)
+            return world.after(CONNECT_FAILURE_MILLIS, ToRouter(host.id, host.session, failure))
+        }
+        val reply = world.nextNumber
+        val row = LedgerReply(host.id, host.session, host.domain, effect.request, effect.authority)
+        val message = LedgerReceived(reply, host.session, listOf(effect.request))
+        return world.copy(nextNumber = reply + 1, replies = world.replies.put(reply, row))
+            .after(LEDGER_TIMEOUT_MILLIS, ReplyTimedOut(reply))
+            .send(host.domain, target.replica.domain, ToReplica(target.replica, message))
+    }
+
+    private fun dispatch(world: World, host: RouterHost, effect: Dispatch): World {
+        val domain = effect.upstream.domain
+        if (world.isCut(host.domain, domain)) {
+            val failure = AttemptFailed(effect.stream, effect.upstream.id, AttemptFailure.NOT_SENT)
+            return world.after(CONNECT_FAILURE_MILLIS, ToRouter(host.id, host.session, failure))
+        }
+        return world.after(world.network.delayMillis, UpstreamReached(effect, host.session))
+    }
+
+    private fun cancelled(world: World, stream: Long): World {
+        val row = world.streams[stream] ?: return world
+        return world.copy(streams = world.streams.put(stream, row.copy(isCancelled = true)))
+    }
+
+    private fun released(world: World, stream: Long): World {
+        val row = world.streams[stream] ?: return world
+        val call = world.calls.getValue(row.call)
+        val answered = call.copy(isAnswered = true, stream = null)
+        return world.copy(
+            calls = world.calls.put(row.call, answered),
+            observed = if (call.stream == stream) world.observed.answered(call.call.key) else world.observed,
+        )
+    }
+
+    private fun refused(world: World, effect: Refuse): World {
+        val row = world.streams[effect.stream.value] ?: return world
+        val call = world.calls.getValue(row.call)
+        if (call.stream != effect.stream.value) return world
+        val next = call.copy(stream = null, refusals = call.refusals + Refusal(effect.reason, effect.outcome))
+        val moved = world.copy(calls = world.calls.put(row.call, next), observed = observeRefusal(world, call, effect))
+        val isRetried = effect.outcome != Outcome.RAN && next.attempts < CALLER_ATTEMPTS
+        return if (isRetried) moved.after(CALLER_RETRY_MILLIS, CallTried(row.call)) else moved
+    }
+
+    private fun observeRefusal(world: World, call: CallRow, effect: Refuse): Observations =
+        when (effect.outcome) {
+            Outcome.NOT_RUN ->
+                world.observed.refusedNotRun(call.call.key, effect.stream.value, call.call.isIdempotent)
+            else -> world.observed
+        }
+}
--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/World.kt
@@ -0,0 +1,68 @@
+/**
+ * The tables of a running scenario: processes, network, callers, upstreams and what was observed.
+ */
+package org.ibismoor.scenario.internal
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
+import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.core.api.DueQueue
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.SeededRandom
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.ledger.api.ChargeRow
+import org.ibismoor.scenario.api.NetworkSettings
+
+internal data class World(
+    val random: SeededRandom,
+    val network: NetworkSettings,
+    val declared: ConfigurationTables,
+    val now: Timestamp = Timestamp(0),
+    val nextNumber: Long = 1,
+    val queue: DueQueue<Long> = DueQueue.empty(),
+    val events: PersistentMap<Long, WorldEvent> = persistentHashMapOf(),
+    val replicas: PersistentMap<FailureDomainId, ReplicaHost> = persistentHashMapOf(),
+    val routers: PersistentMap<RouterId, RouterHost> = persistentHashMapOf(),
+    val replies: PersistentMap<Long, ReplyRow> = persistentHashMapOf(),
+    val calls: PersistentMap<Long, CallRow> = persistentHashMapOf(),
+    val streams: PersistentMap<Long, StreamRow> = persistentHashMapOf(),
+    val publications: PersistentMap<Long, PublicationRow> = persistentHashMapOf(),
+    val cuts: PersistentSet<Link> = persistentHashSetOf(),
+    val lostCharges: PersistentList<ChargeRow> = persistentListOf(),
+    val observed: Observations = Observations(),
+) {
+    /** This world with [event] due in [delayMillis]. */
+    fun after(delayMillis: Long, event: WorldEvent): World =
+        copy(
+            nextNumber = nextNumber + 1,
+            queue = queue.plus(now + delayMillis, nextNumber),
+            events = events.put(nextNumber, event),
+        )
+
+    fun isCut(from: FailureDomainId, to: FailureDomainId): Boolean = Link(from, to) in cuts
+
+    /** A message from one domain to another, which the network may lose, delay or double. */
+    fun send(from: FailureDomainId, to: FailureDomainId, event: WorldEvent): World {
+        val lot = random.below(PER_MILLE)
+        val delay = network.delayMillis + random.advance().below(network.jitterMillis + 1)
+        val next = copy(random = random.advance().advance())
+        val isDoubled = lot >= PER_MILLE - network.doubledPerMille
+        return when {
+            isCut(from, to) || lot < network.lostPerMille && from != to -> next
+            isDoubled && from != to -> next.after(delay, event).after(2 * delay, event)
+            else -> next.after(delay, event)
+        }
+    }
+
+    private companion object {
+        const val PER_MILLE = 1_000L
+    }
+}
+
+/** A direction between two failure domains. */
+internal data class Link(val from: FailureDomainId, val to: FailureDomainId)
--- /dev/null
+++ b/scenario/src/test/kotlin/org/ibismoor/scenario/ExampleFleet.kt
@@ -0,0 +1,65 @@
+package org.ibismoor.scenario
+
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentHashMap
+import org.ibismoor.configuration.api.ApiKey
+import org.ibismoor.configuration.api.Budget
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.configuration.api.FleetSettings
+import org.ibismoor.configuration.api.ModelRoute
+import org.ibismoor.configuration.api.Organisation
+import org.ibismoor.configuration.api.ServiceRoute
+import org.ibismoor.configuration.api.ServiceRule
+import org.ibismoor.configuration.api.Upstream
+import org.ibismoor.core.api.ApiKeyDigest
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.GrantId
+import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RouteId
+import org.ibismoor.core.api.UpstreamGroupId
+import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.scenario.api.ChatCall
+import org.ibismoor.scenario.api.ServiceCall
+
+private val assistants = UpstreamGroupId("assistants")
+private val bookingDesk = UpstreamGroupId("booking-desk")
+private const val BOOKING_PRICE = 50L
+
+/** A fleet of the size of Bilbao: two assistants and one booking worker in each of three failure domains. */
+fun bilbao(vararg budgets: Pair<String, Long>, heldBackPerMille: Int = 100): ConfigurationTables {
+    val rows = budgets.map { (name, tokens) -> budget(name, tokens) }
+    return ConfigurationTables(
+        settings = FleetSettings(heldBackPerMille),
+        organisations = rows.map { Organisation(it.organisation) }.associateBy { it.id }.toPersistentHashMap(),
+        apiKeys = rows.map { ApiKey(ApiKeyDigest(it.id.text), it.organisation, it.id) }
+            .associateBy { it.digest }.toPersistentHashMap(),
+        budgets = rows.associateBy { it.id }.toPersistentHashMap(),
+        routes = listOf(
+            ModelRoute(RouteId("chat"), assistants, 10_000, "assistant", 256, 1_024),
+            ServiceRoute(
+                RouteId("bookings"),
+                bookingDesk,
+                10_000,
+                persistentListOf(ServiceRule("POST", "/", isIdempotent = false, price = BOOKING_PRICE)),
+            ),
+        ).associateBy { it.id }.toPersistentHashMap(),
+        upstreams = listOf("norte-1", "norte-2", "norte-3").flatMap(::upstreams)
+            .associateBy { it.id }.toPersistentHashMap(),
+    )
+}
+
+private fun budget(name: String, tokens: Long) =
+    Budget(BudgetId(name), OrganisationId("org-$name"), persistentHashMapOf(GrantId("first") to tokens))
+
+private fun upstreams(domain: String): List<Upstream> =
+    listOf("a" to assistants, "b" to assistants, "desk" to bookingDesk).map { (name, group) ->
+        Upstream(UpstreamId("$domain-$name"), group, FailureDomainId(domain), "http://$domain-$name")
+    }
+
+/** A chat completion of 40 prompt and 60 answer tokens. */
+fun chat(budget: String, key: String) = ChatCall(budget, key, "assistant", 40, 60, 60)
+
+/** An escort confirmation, which must run at most once. */
+fun booking(budget: String, key: String) = ServiceCall(budget, key, "bookings", "POST", "/confirm", isIdempotent = false)
