Add orders to upstreams as a pure machine

Cause: a replica that lost its lead may still send orders, and not all upstreams check fencing numbers. Change: a lease in the replicated log whose number fences orders, counted by its holder from the proposal and by others from the moment they applied it, with drift and the order in flight; loads within the rate of the weight store.

--- a/configuration/src/main/kotlin/org/ibismoor/configuration/api/Upstream.kt
+++ b/configuration/src/main/kotlin/org/ibismoor/configuration/api/Upstream.kt
@@ -1,5 +1,6 @@
 /**
  * An upstream process: a model engine or a worker of a plain service. [baseUrl] names scheme, IP number and port.
+ * With a [placement] the fleet sends orders until the upstream reports it.
  */
 package org.ibismoor.configuration.api
 
@@ -16,4 +17,5 @@
     val baseUrl: String,
     val checksFencing: Boolean = false,
     val supportsResume: Boolean = false,
+    val placement: Placement? = null,
 )
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlEffect.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlEffect.kt
@@ -1,6 +1,6 @@
 /**
- * What a control replica asks of its process. Effects are performed in order: whatever is sent or answered comes after the
- * records before it are synced.
+ * What a control replica asks of its process. Effects are performed in order: whatever is sent or answered comes
+ * after the records before it are synced.
  */
 package org.ibismoor.fleet.api
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlMessage.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlMessage.kt
@@ -1,6 +1,6 @@
 /**
- * What drives a control replica beside the passing of time. A `reply` number names the exchange that waits for an answer;
- * the effect that answers it carries the same number.
+ * What drives a control replica beside the passing of time. A `reply` number names the exchange that waits for an
+ * answer; the effect that answers it carries the same number.
  */
 package org.ibismoor.fleet.api
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
@@ -1,6 +1,7 @@
 /**
- * Limits of a control replica. A snapshot is written after [snapshotEntries] entries or [snapshotCharacters] characters of
- * commands, whichever comes first; the log of the domain ledger is rewritten after [ledgerRecords] records.
+ * Limits of a control replica. A snapshot is written after [snapshotEntries] entries or [snapshotCharacters]
+ * characters of commands, whichever comes first; the log of the domain ledger is rewritten after [ledgerRecords]
+ * records.
  */
 package org.ibismoor.fleet.api
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
@@ -1,6 +1,6 @@
 /**
- * The whole state of one control replica: the tables of its parts, the commands under way, and the messages that one system
- * left for the next pass of the same tick.
+ * The whole state of one control replica: the tables of its parts, the commands under way, and the messages that one
+ * system left for the next pass of the same tick.
  */
 package org.ibismoor.fleet.api
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ApplySystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ApplySystem.kt
@@ -51,7 +51,9 @@
         ).let { it.copy(inbox = it.inbox + moved) }
     }
 
-    /** The command of another term at the same index is another command; the result of this replica's own stays open. */
+    /**
+     * The command of another term at the same index is another command; the result of this replica's own stays open.
+     */
     private fun answer(control: ControlTables, entry: ConsensusEntry, result: FleetResult): ControlTables {
         val appended = control.proposals.appended[entry.index] ?: return control
         val answer = if (appended.term == entry.term) CommandCommitted(result) else CommandUnknown
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
@@ -1,6 +1,6 @@
 /**
- * Brings the group of control replicas to the declared members. Only the leader acts. A declared replica with a later epoch
- * replaces the earlier one of its domain, whose shares are written off.
+ * Brings the group of control replicas to the declared members. Only the leader acts. A declared replica with a
+ * later epoch replaces the earlier one of its domain, whose shares are written off.
  */
 package org.ibismoor.fleet.internal
 
--- /dev/null
+++ b/orders/src/main/kotlin/org/ibismoor/orders/internal/OrderStep.kt
@@ -0,0 +1,10 @@
+/**
+ * Step of a system of orders.
+ */
+package org.ibismoor.orders.internal
+
+import org.ibismoor.core.api.Step
+import org.ibismoor.orders.api.OrderEffect
+import org.ibismoor.orders.api.OrderTables
+
+internal typealias OrderStep = Step<OrderTables, OrderEffect>
--- /dev/null
+++ b/orders/src/test/kotlin/org/ibismoor/orders/OrdersTest.kt
@@ -0,0 +1,126 @@
+package org.ibismoor.orders
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.ibismoor.configuration.api.Placement
+import org.ibismoor.configuration.api.Upstream
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.UpstreamGroupId
+import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.core.api.WallTime
+import org.ibismoor.orders.api.LeadershipObserved
+import org.ibismoor.orders.api.LeaseApplied
+import org.ibismoor.orders.api.OrderAnswer
+import org.ibismoor.orders.api.OrderAnswered
+import org.ibismoor.orders.api.OrderEffect
+import org.ibismoor.orders.api.OrderLease
+import org.ibismoor.orders.api.OrderMessage
+import org.ibismoor.orders.api.OrderSettings
+import org.ibismoor.orders.api.OrderTables
+import org.ibismoor.orders.api.PlacementReported
+import org.ibismoor.orders.api.ProposeLease
+import org.ibismoor.orders.api.SendOrder
+import org.ibismoor.orders.api.UpstreamsDeclared
+import org.ibismoor.orders.api.createOrders
+import org.ibismoor.orders.api.initialOrderTables
+
+private val wanted = Placement("assistant", "2")
+
+private fun upstream(name: String) =
+    Upstream(UpstreamId(name), UpstreamGroupId("g"), FailureDomainId("d"), "http://$name", placement = wanted)
+
+/** One replica with a clock of its own rate, given in thousandths of the true rate. */
+private class Replica(name: String, private val ratePerMille: Long, settings: OrderSettings) {
+    private val machine = createOrders(settings)
+    val id = ReplicaId(FailureDomainId(name), 1)
+    var tables: OrderTables = initialOrderTables(id, null, Timestamp(0))
+
+    fun own(trueMillis: Long) = Timestamp(trueMillis * ratePerMille / 1_000)
+
+    fun run(trueMillis: Long, vararg messages: OrderMessage): List<OrderEffect> {
+        val step = machine.run(tables, Tick(own(trueMillis), WallTime(0), messages.toList()))
+        tables = step.tables
+        return step.effects
+    }
+
+    fun isDue(trueMillis: Long): Boolean = machine.nextDue(tables)?.let { it <= own(trueMillis) } ?: false
+
+    /** Runs every millisecond of true time and returns the times at which orders were sent. */
+    fun sendTimes(from: Long, until: Long, step: Long = 1): List<Long> =
+        (from until until step step).filter { isDue(it) && run(it).any { effect -> effect is SendOrder } }
+}
+
+/** Time from the last order of an isolated holder to the first order of the replica that takes over. */
+private fun gap(holderRate: Long, nextRate: Long, nextSettings: OrderSettings): Long {
+    val all = (1..100).associate { upstream("u$it").let { row -> row.id to row } }
+    val settings = OrderSettings(loadIntervalMillis = 100, concurrentLoads = 1_000)
+    val old = Replica("old", holderRate, settings)
+    val new = Replica("new", nextRate, nextSettings)
+    val lease = OrderLease(1, old.id, settings.leaseMillis)
+    old.run(0, LeadershipObserved(true), UpstreamsDeclared(all))
+    val first = old.run(5, LeaseApplied(lease)).filterIsInstance<SendOrder>().map { 5L }
+    new.run(5, UpstreamsDeclared(all), LeaseApplied(lease), LeadershipObserved(true))
+    val oldTimes = first + old.sendTimes(6, 30_000)
+    val grant = (5L until 60_000).first { new.isDue(it) && new.run(it).any { effect -> effect is ProposeLease } }
+    val newLease = OrderLease(2, new.id, settings.leaseMillis)
+    val firstOrder = new.run(grant, LeaseApplied(newLease)).any { it is SendOrder }
+    firstOrder shouldBe true
+    return grant - oldTimes.last()
+}
+
+class OrdersTest : StringSpec({
+    "an order of the old holder has ended before the next holder sends one, at any drift within the bound" {
+        checkAll(20, Arb.long(990L..1_010L), Arb.long(990L..1_010L)) { holderRate, nextRate ->
+            gap(holderRate, nextRate, OrderSettings()) shouldBeGreaterThan OrderSettings().orderMillis
+        }
+    }
+
+    "without waiting for drift and for the order in flight, the two holders' orders overlap" {
+        gap(990, 1_010, OrderSettings(driftPerMille = 0, orderMillis = 0)) shouldBeLessThan
+            OrderSettings().orderMillis
+    }
+
+    "an order is sent only under the lease and within the rate of the weight store" {
+        val replica = Replica("only", 1_000, OrderSettings())
+        val all = (1..5).associate { upstream("u$it").let { row -> row.id to row } }
+        replica.run(0, LeadershipObserved(true), UpstreamsDeclared(all)).filterIsInstance<SendOrder>().shouldBeEmpty()
+        val sent = replica.run(1, LeaseApplied(OrderLease(1, replica.id, 10_000))).filterIsInstance<SendOrder>()
+        sent shouldHaveSize 1
+        sent.single().number shouldBe 1
+        replica.sendTimes(2, 7_900) shouldBe listOf(5_001L)
+    }
+
+    "an upstream that serves what is wanted gets no order, and one that refuses gets it again later" {
+        val replica = Replica("only", 1_000, OrderSettings(retryMillis = 100, loadIntervalMillis = 0))
+        val row = upstream("u")
+        replica.run(0, LeadershipObserved(true), UpstreamsDeclared(mapOf(row.id to row)))
+        replica.run(1, LeaseApplied(OrderLease(1, replica.id, 10_000))).filterIsInstance<SendOrder>() shouldHaveSize 1
+        replica.run(2, OrderAnswered(row.id, 1, OrderAnswer.OLD_NUMBER))
+        replica.sendTimes(3, 200) shouldBe listOf(102L)
+        replica.run(201, OrderAnswered(row.id, 1, OrderAnswer.ACCEPTED), PlacementReported(row.id, wanted))
+        replica.sendTimes(202, 500).shouldBeEmpty()
+    }
+
+    "nothing stays due that cannot be done, so that the control thread never spins" {
+        val replica = Replica("only", 1_000, OrderSettings(concurrentLoads = 1))
+        val all = (1..5).associate { upstream("u$it").let { row -> row.id to row } }
+        replica.run(0, LeadershipObserved(true), UpstreamsDeclared(all))
+        replica.run(1, LeaseApplied(OrderLease(1, replica.id, 10_000)))
+        val busy = (2L until 60_000).count { time ->
+            val isDue = replica.isDue(time)
+            if (isDue) replica.run(time)
+            isDue && replica.isDue(time)
+        }
+        busy shouldBe 0
+    }
+})
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/Scenario.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/Scenario.kt
@@ -1,6 +1,6 @@
 /**
- * A rehearsal: a small fleet, what happens to it at which time, and the outcome that is expected. The same scenario and seed
- * give the same trace. Times are in milliseconds from the start; amounts are in budget tokens.
+ * A rehearsal: a small fleet, what happens to it at which time, and the outcome that is expected. The same scenario
+ * and seed give the same trace. Times are in milliseconds from the start; amounts are in budget tokens.
  */
 package org.ibismoor.scenario.api
 
