--- /dev/null
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/HttpServers.kt
@@ -0,0 +1,19 @@
+/**
+ * Makes HTTP servers over Undertow that read bodies without holding a thread, and write and flush each part of an
+ * answer as soon as it is available.
+ */
+package org.ibismoor.transport.api
+
+import org.http4k.core.HttpHandler
+import org.http4k.server.Http4kServer
+import org.http4k.server.ServerConfig
+import org.ibismoor.transport.internal.FlushingServer
+
+fun createServer(settings: ServerSettings, handler: CallerHandler): Http4kServer = FlushingServer(settings, handler)
+
+fun createServerConfig(settings: ServerSettings): ServerConfig =
+    object : ServerConfig {
+        override val stopMode: ServerConfig.StopMode = ServerConfig.StopMode.Immediate
+
+        override fun toServer(http: HttpHandler): Http4kServer = createServer(settings) { request, _ -> http(request) }
+    }
--- /dev/null
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/RefusalResponses.kt
@@ -0,0 +1,62 @@
+/**
+ * Turns refusal reasons into HTTP answers: a status for each reason and an error body.
+ */
+package org.ibismoor.transport.api
+
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.ibismoor.core.api.Outcome
+import org.ibismoor.core.api.RefusalReason
+
+private val statuses: Map<RefusalReason, Status> = buildMap {
+    put(RefusalReason.MALFORMED_REQUEST, Status.BAD_REQUEST)
+    put(RefusalReason.UNAUTHENTICATED, Status.UNAUTHORIZED)
+    put(RefusalReason.REQUEST_TOO_LARGE, Status.REQUEST_ENTITY_TOO_LARGE)
+    put(RefusalReason.KEY_REUSED, Status.UNPROCESSABLE_ENTITY)
+    putAll(budgetReasons().associateWith { Status.PAYMENT_REQUIRED })
+    putAll(missingReasons().associateWith { Status.NOT_FOUND })
+    putAll(conflictReasons().associateWith { Status.CONFLICT })
+    putAll(paceReasons().associateWith { Status.TOO_MANY_REQUESTS })
+    putAll(upstreamReasons().associateWith { Status.BAD_GATEWAY })
+    put(RefusalReason.UPSTREAM_TIMEOUT, Status.GATEWAY_TIMEOUT)
+    put(RefusalReason.INTERNAL_ERROR, Status.INTERNAL_SERVER_ERROR)
+}
+
+private fun budgetReasons() = listOf(RefusalReason.BUDGET_EXHAUSTED, RefusalReason.RESERVATION_REACHED)
+
+private fun missingReasons() =
+    listOf(RefusalReason.UNKNOWN_ROUTE, RefusalReason.UNKNOWN_MODEL, RefusalReason.UNKNOWN_BUDGET)
+
+private fun conflictReasons() =
+    listOf(
+        RefusalReason.ALREADY_RAN,
+        RefusalReason.CLAIMED,
+        RefusalReason.IN_PROGRESS,
+        RefusalReason.KEY_EXPIRED,
+        RefusalReason.RERUN_LIMIT,
+    )
+
+private fun paceReasons() =
+    listOf(RefusalReason.RATE_LIMITED, RefusalReason.QUEUE_FULL, RefusalReason.QUEUE_DEADLINE)
+
+private fun upstreamReasons() =
+    listOf(RefusalReason.UPSTREAM_FAILED, RefusalReason.CROSSED_ANSWER, RefusalReason.INCOMPLETE_ANSWER)
+
+/** Every reason without a status of its own is a temporary lack of something in the fleet. */
+val RefusalReason.httpStatus: Status get() = statuses[this] ?: Status.SERVICE_UNAVAILABLE
+
+/** Group of the reason in the terms that callers' libraries know. */
+val RefusalReason.errorType: String
+    get() = when (httpStatus) {
+        Status.UNAUTHORIZED -> "authentication_error"
+        Status.PAYMENT_REQUIRED -> "insufficient_quota"
+        Status.TOO_MANY_REQUESTS -> "rate_limit_error"
+        else -> if (httpStatus.clientError) "invalid_request_error" else "server_error"
+    }
+
+/** An answer that refuses a request. */
+fun refusalResponse(reason: RefusalReason, outcome: Outcome, message: String): Response =
+    errorResponse(reason, ErrorDetail(message, reason.errorType, reason.code, outcome))
+
+fun errorResponse(reason: RefusalReason, detail: ErrorDetail): Response =
+    jsonResponse(reason.httpStatus, ErrorBody.serializer(), ErrorBody(detail))
--- /dev/null
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/BodyReader.kt
@@ -0,0 +1,69 @@
+/**
+ * Reads the body of a request on the event thread, within the limits, and then hands the request to a worker. A slow
+ * caller holds no worker; one that does not send its body in time is disconnected.
+ */
+package org.ibismoor.transport.internal
+
+import io.undertow.io.Receiver
+import io.undertow.server.HttpHandler
+import io.undertow.server.HttpServerExchange
+import org.http4k.core.Response
+import org.ibismoor.core.api.Outcome
+import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.HttpLimits
+import org.ibismoor.transport.api.refusalResponse
+import org.xnio.IoUtils
+import java.io.IOException
+import java.util.concurrent.Executor
+import java.util.concurrent.TimeUnit
+
+internal class BodyReader(
+    private val limits: HttpLimits,
+    private val workers: Executor,
+    private val handler: CallerHandler,
+) : HttpHandler {
+    override fun handleRequest(exchange: HttpServerExchange) {
+        val limit = limits.bodyBytesOf(exchange.requestPath)
+        if (exchange.requestContentLength > limit) {
+            refuse(exchange, tooLarge(limit))
+        } else {
+            receive(exchange, limit)
+        }
+    }
+
+    private fun receive(exchange: HttpServerExchange, limit: Long) {
+        val timeout = exchange.ioThread.executeAfter(
+            { IoUtils.safeClose(exchange.connection) },
+            limits.bodyMillis,
+            TimeUnit.MILLISECONDS,
+        )
+        exchange.requestReceiver.setMaxBufferSize(limit.toInt())
+        exchange.requestReceiver.receiveFullBytes(
+            { received, bytes ->
+                timeout.remove()
+                received.dispatch(workers, ExchangeHandler(handler, bytes))
+            },
+            { failed, e ->
+                timeout.remove()
+                fail(failed, e, limit)
+            },
+        )
+    }
+
+    private fun fail(exchange: HttpServerExchange, e: IOException, limit: Long) {
+        if (e is Receiver.RequestToLargeException) {
+            refuse(exchange, tooLarge(limit))
+        } else {
+            IoUtils.safeClose(exchange.connection)
+        }
+    }
+
+    private fun refuse(exchange: HttpServerExchange, response: Response) {
+        exchange.isPersistent = false
+        exchange.dispatch(workers, ExchangeHandler({ _, _ -> response }, ByteArray(0)))
+    }
+
+    private fun tooLarge(limit: Long): Response =
+        refusalResponse(RefusalReason.REQUEST_TOO_LARGE, Outcome.NOT_RUN, "the body exceeds $limit bytes")
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
@@ -0,0 +1,57 @@
+/**
+ * HTTP server over Undertow. Event threads read heads and bodies; one worker thread per request runs the handler and
+ * writes its answer.
+ */
+package org.ibismoor.transport.internal
+
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import io.undertow.server.handlers.GracefulShutdownHandler
+import org.http4k.server.Http4kServer
+import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.ServerSettings
+import java.net.InetSocketAddress
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+private const val IDLE_THREAD_SECONDS = 30L
+private const val EVENT_THREADS = 2
+private const val SPARE_THREADS = 1
+
+internal class FlushingServer(private val settings: ServerSettings, handler: CallerHandler) : Http4kServer {
+    private val workers =
+        ThreadPoolExecutor(
+            SPARE_THREADS,
+            settings.maximumRequests,
+            IDLE_THREAD_SECONDS,
+            TimeUnit.SECONDS,
+            SynchronousQueue(),
+        )
+    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, handler))
+    private val undertow = build()
+
+    override fun start(): Http4kServer = apply { undertow.start() }
+
+    override fun stop(): Http4kServer =
+        apply {
+            shutdown.shutdown()
+            shutdown.awaitShutdown(settings.stopMillis)
+            undertow.stop()
+            workers.shutdownNow()
+        }
+
+    override fun port(): Int = (undertow.listenerInfo.first().address as InetSocketAddress).port
+
+    private fun build(): Undertow =
+        Undertow.builder()
+            .addHttpListener(settings.port, settings.host)
+            .setIoThreads(EVENT_THREADS)
+            .setWorkerThreads(SPARE_THREADS)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.limits.headerBytes)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.limits.headerMillis)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.limits.idleMillis)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setHandler(shutdown)
+            .build()
+}
