Read and check declaration files

Operators write declarations in several files, and a fault in one must not hide those in another. The reader gives every field a value and its findings, so that all files are read to the end and checked as one set.

--- /dev/null
+++ b/declarations/src/main/kotlin/org/ibismoor/declarations/api/DeclarationResult.kt
@@ -0,0 +1,18 @@
+/**
+ * Result of reading a set of declaration files: the configuration that they declare, or every finding.
+ */
+package org.ibismoor.declarations.api
+
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.core.api.Finding
+
+sealed interface DeclarationResult
+
+/**
+ * The set is sound. [tables] carry no number. [digest] is the SHA-256 of the content in a canonical order, so that
+ * the same declarations in other files or in another order have the same digest.
+ */
+data class Accepted(val tables: ConfigurationTables, val digest: String) : DeclarationResult
+
+/** The set has faults, in the order of their places. */
+data class Rejected(val findings: List<Finding>) : DeclarationResult
--- /dev/null
+++ b/declarations/src/main/kotlin/org/ibismoor/declarations/internal/DeclarationChecks.kt
@@ -0,0 +1,28 @@
+/**
+ * The checks over a set, each on its own.
+ */
+package org.ibismoor.declarations.internal
+
+import org.ibismoor.core.api.Finding
+import org.ibismoor.declarations.api.DeclarationLimits
+
+internal val declarationChecks: List<DeclarationCheck> =
+    listOf(
+        DeclarationCheck(::duplicates),
+        DeclarationCheck(::danglingReferences),
+        DeclarationCheck(::foreignBudgets),
+        DeclarationCheck(::coveredRules),
+        DeclarationCheck(::answerBounds),
+        DeclarationCheck(::rowLimits),
+    )
+
+private fun rowLimits(declared: DeclaredTables): List<Finding> =
+    listOf(
+        declared.organisations.map { it.name },
+        declared.organisations.flatMap { it.keys }.map { it.digest },
+        declared.budgets.map { it.name },
+        declared.budgets.flatMap { it.grants }.map { it.id },
+        declared.routes.map { it.name },
+        declared.upstreams.map { it.name },
+    ).mapNotNull { rows -> rows.getOrNull(DeclarationLimits.MAXIMUM_ROWS) }
+        .map { Finding(it.place, "too many rows", "at most ${DeclarationLimits.MAXIMUM_ROWS} of a kind are allowed") }
