--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/CommandAnswer.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/CommandAnswer.kt
@@ -21,6 +21,11 @@
 @SerialName("not_leader")
 data class NotLeader(val leader: ReplicaId?) : CommandAnswer
 
+/** The command was not appended and will not be committed, for the stated problem. */
+@Serializable
+@SerialName("refused")
+data class CommandRefused(val problem: String) : CommandAnswer
+
 /** It is not known whether the command is or will be committed. The same command may be sent again. */
 @Serializable
 @SerialName("unknown")
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
@@ -11,7 +11,7 @@
 import org.ibismoor.fleet.internal.ControlMachine
 import org.ibismoor.fleet.internal.replay
 import org.ibismoor.ledger.api.DomainRecord
-import org.ibismoor.ledger.api.initialShareTables
+import org.ibismoor.ledger.api.ShareTables
 import org.ibismoor.ledger.api.restoreDomainLedger
 import org.ibismoor.membership.api.initialMembershipTables
 
@@ -39,7 +39,7 @@
         consensus = restored.tables,
         fleet = replayed.fleet,
         ledger = restoreDomainLedger(replica, logs.ledger, replayed.fleet, now),
-        shares = initialShareTables(),
+        shares = ShareTables(),
         membership = initialMembershipTables(replica, settings.membership, now),
         appliedIndex = replayed.index,
     )
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
@@ -8,7 +8,7 @@
 import org.ibismoor.consensus.api.ConsensusSettings
 import org.ibismoor.ledger.api.DomainLedgerSettings
 import org.ibismoor.ledger.api.ShareSizingPolicy
-import org.ibismoor.ledger.api.createDemandWeightedPolicy
+import org.ibismoor.ledger.api.demandWeightedSizing
 import org.ibismoor.membership.api.MembershipSettings
 
 private const val DEFAULT_SNAPSHOT_ENTRIES = 2_000
@@ -22,5 +22,5 @@
     val consensus: ConsensusSettings = ConsensusSettings(),
     val ledger: DomainLedgerSettings = DomainLedgerSettings(),
     val membership: MembershipSettings = MembershipSettings(),
-    val shareSizing: ShareSizingPolicy = createDemandWeightedPolicy(),
+    val shareSizing: ShareSizingPolicy = demandWeightedSizing(),
 )
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
@@ -5,9 +5,12 @@
 package org.ibismoor.fleet.api
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.consensus.api.ConsensusTables
 import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.WallTime
 import org.ibismoor.configuration.api.ConfigurationNumber
 import org.ibismoor.ledger.api.DomainLedgerTables
@@ -25,6 +28,7 @@
     val appliedIndex: Long = 0,
     val isLeading: Boolean = false,
     val inForce: InForce? = null,
+    val reachability: ReachabilityTables = ReachabilityTables(),
     val proposals: ProposalTables = ProposalTables(),
     val growth: LogGrowth = LogGrowth(),
     val inbox: PersistentList<ControlMessage> = persistentListOf(),
@@ -33,5 +37,12 @@
 /** The highest configuration number that every live router has reported, and when that was seen. */
 data class InForce(val number: ConfigurationNumber, val at: WallTime)
 
+/** When each replica was last heard, which of them the leader counts as reachable, and when it checks again. */
+data class ReachabilityTables(
+    val heardAt: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
+    val reachable: Set<ReplicaId> = emptySet(),
+    val checkAt: Timestamp? = null,
+)
+
 /** How much was written since the last snapshot and since the last rewrite of the ledger's log. */
 data class LogGrowth(val entries: Int = 0, val characters: Long = 0, val ledgerRecords: Int = 0)
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ApplySystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ApplySystem.kt
@@ -4,6 +4,7 @@
 package org.ibismoor.fleet.internal
 
 import kotlinx.collections.immutable.plus
+import org.ibismoor.configuration.api.deltaBetween
 import org.ibismoor.consensus.api.CommandContent
 import org.ibismoor.consensus.api.ConsensusEntry
 import org.ibismoor.core.api.Step
@@ -43,7 +44,7 @@
         val step = applyCommand(control.fleet, command)
         val isPublished = step.tables.configuration.number != control.fleet.configuration.number
         val delta = (command as? Publish)?.delta?.takeIf { isPublished }
-        val moved = FleetMoved(step.changed, isPublished, delta)
+        val moved = FleetMoved(step.changed, delta)
         val growth = control.growth
         return answer(control, entry, step.result).copy(
             fleet = step.tables,
@@ -65,7 +66,8 @@
 
     private fun restore(control: ControlTables, snapshot: SnapshotReady): ControlTables {
         val fleet = codec.readTables(snapshot.payload)
-        val moved = FleetMoved(fleet.budgets.keys, isConfigurationChanged = true, delta = null)
+        val delta = deltaBetween(control.fleet.configuration, fleet.configuration)
+        val moved = FleetMoved(fleet.budgets.keys, delta)
         return control.copy(
             fleet = fleet,
             appliedIndex = snapshot.index,
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ConsensusPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ConsensusPart.kt
@@ -54,7 +54,8 @@
             is RestoreSnapshot -> Translation.message(SnapshotReady(effect.index, effect.payload))
             is ProposalAppended ->
                 Translation.message(ProposalPlaced(effect.proposal, effect.index, effect.term))
-            is ProposalRefused -> Translation.message(ProposalFailed(effect.proposal, effect.leader))
+            is ProposalRefused ->
+                Translation.message(ProposalFailed(effect.proposal, effect.leader, effect.reason))
             is ReadConfirmed -> Translation.NONE
         }
 }
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ControlMachine.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ControlMachine.kt
@@ -26,10 +26,13 @@
     private val shares = SharesPart(settings.shareSizing)
     private val membership = MembershipPart(settings.membership)
 
+    private val reachability = ReachabilitySystem()
+
     private val schedule = SystemSchedule(
         listOf(
             PartSystem(consensus),
             LeadershipSystem(),
+            reachability,
             ApplySystem(codec),
             PartSystem(ledger),
             PartSystem(shares),
@@ -72,6 +75,7 @@
                     ledger.machine.nextDue(tables.ledger),
                     shares.machine.nextDue(tables.shares),
                     membership.machine.nextDue(tables.membership),
+                    reachability.nextDue(tables),
                 ).minOrNull()
         }
 }
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/DomainLedgerPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/DomainLedgerPart.kt
@@ -29,6 +29,7 @@
 import org.ibismoor.ledger.api.RequestsReceived
 import org.ibismoor.ledger.api.ReturnRequested
 import org.ibismoor.ledger.api.SessionHeard
+import org.ibismoor.ledger.api.SharesExhausted
 import org.ibismoor.ledger.api.createDomainLedger
 
 internal class DomainLedgerPart(settings: DomainLedgerSettings) :
@@ -61,7 +62,7 @@
     private fun readPeer(message: PeerMessage): DomainLedgerMessage? =
         when (message) {
             is ReturnAsked -> ReturnRequested(message.budget, message.amount)
-            is BudgetsExhausted -> org.ibismoor.ledger.api.BudgetsExhausted(message.budgets)
+            is BudgetsExhausted -> SharesExhausted(message.budgets)
             is SharesNeeded -> null
         }
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/InternalMessage.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/InternalMessage.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.configuration.api.ConfigurationDelta
 import org.ibismoor.consensus.api.ConsensusEntry
+import org.ibismoor.consensus.api.ProposalRefusal
 import org.ibismoor.core.api.BudgetId
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.SessionId
@@ -30,7 +31,8 @@
 internal data class ProposalPlaced(val proposal: Long, val index: Long, val term: Long) : InternalMessage
 
 /** The consensus refused a proposal. */
-internal data class ProposalFailed(val proposal: Long, val leader: ReplicaId?) : InternalMessage
+internal data class ProposalFailed(val proposal: Long, val leader: ReplicaId?, val reason: ProposalRefusal) :
+    InternalMessage
 
 /** Committed entries to apply. */
 internal data class EntriesReady(val entries: List<ConsensusEntry>) : InternalMessage
@@ -44,12 +46,11 @@
 /** The consensus cut its log, so that its file can be rewritten. */
 internal data object LogCut : InternalMessage
 
-/** The fleet tables changed. [delta] is the configuration's change, if only that is known. */
-internal data class FleetMoved(
-    val changed: Set<BudgetId>,
-    val isConfigurationChanged: Boolean,
-    val delta: ConfigurationDelta?,
-) : InternalMessage
+/** The fleet tables changed: the rows of [changed], and the configuration by [delta] if it is given. */
+internal data class FleetMoved(val changed: Set<BudgetId>, val delta: ConfigurationDelta?) : InternalMessage
+
+/** The replicas that the leader hears are [replicas]. */
+internal data class ReachableMoved(val replicas: Set<ReplicaId>) : InternalMessage
 
 /** This replica became the leader or stopped being it. */
 internal data class LeadershipMoved(val isLeading: Boolean) : InternalMessage
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
@@ -17,7 +17,7 @@
 
 internal class MemberSystem : TickSystem<ControlTables, ControlMessage, ControlEffect> {
     override fun run(tables: ControlTables, tick: Tick<ControlMessage>): ControlStep {
-        val isDue = tick.messages.any { it is LeadershipMoved || it is FleetMoved && it.isConfigurationChanged }
+        val isDue = tick.messages.any { it is LeadershipMoved || it is FleetMoved && it.delta != null }
         val declared = tables.fleet.configuration.controlMembers.keys
         if (!isDue || !tables.isLeading || declared.isEmpty()) return ControlStep(tables)
         val messages = replacements(tables, declared) + MembersWanted(declared.sorted())
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MembershipPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MembershipPart.kt
@@ -52,10 +52,7 @@
         )
 
     private fun configuration(control: ControlTables, moved: FleetMoved): MembershipMessage? =
-        when {
-            moved.isConfigurationChanged -> ConfigurationAdvanced(control.fleet.configuration, moved.delta)
-            else -> null
-        }
+        moved.delta?.let { ConfigurationAdvanced(control.fleet.configuration, it) }
 
     override fun write(control: ControlTables, effect: MembershipEffect): Translation =
         when (effect) {
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.plus
+import org.ibismoor.consensus.api.ProposalRefusal
 import org.ibismoor.consensus.api.status
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Step
@@ -13,6 +14,7 @@
 import org.ibismoor.fleet.api.AppendedCommand
 import org.ibismoor.fleet.api.CommandAnswer
 import org.ibismoor.fleet.api.CommandReceived
+import org.ibismoor.fleet.api.CommandRefused
 import org.ibismoor.fleet.api.CommandUnknown
 import org.ibismoor.fleet.api.ControlEffect
 import org.ibismoor.fleet.api.ControlMessage
@@ -94,7 +96,13 @@
         val proposals = control.proposals
         val pending = proposals.proposed[message.proposal] ?: return control
         val next = control.copy(proposals = proposals.copy(proposed = proposals.proposed.remove(message.proposal)))
-        return answered(next, pending, NotLeader(message.leader))
+        val answer = when (message.reason) {
+            ProposalRefusal.NOT_LEADER -> NotLeader(message.leader)
+            ProposalRefusal.RESULT_OPEN -> CommandUnknown
+            ProposalRefusal.TOO_LARGE -> CommandRefused("the change is too large for one entry; publish it in parts")
+            ProposalRefusal.TOO_MANY_PENDING -> CommandRefused("too many commands are open; send it again later")
+        }
+        return answered(next, pending, answer)
     }
 
     private fun forwarded(control: ControlTables, message: ForwardAnswered): ControlTables {
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/SharesPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/SharesPart.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.ledger.api.IssueTokens
 import org.ibismoor.ledger.api.LeadershipChanged
 import org.ibismoor.ledger.api.NeedsReceived
+import org.ibismoor.ledger.api.ReachableChanged
 import org.ibismoor.ledger.api.ShareEffect
 import org.ibismoor.ledger.api.ShareMessage
 import org.ibismoor.ledger.api.ShareSizingPolicy
@@ -33,6 +34,7 @@
     override fun read(control: ControlTables, message: ControlMessage): List<ShareMessage> =
         when (message) {
             is LeadershipMoved -> leadership(control, message.isLeading)
+            is ReachableMoved -> listOf(ReachableChanged(message.replicas))
             is FleetMoved -> listOf(FleetObserved(control.fleet, message.changed))
             is PeerReceived -> listOfNotNull(needs(message))
             else -> emptyList()
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
@@ -11,10 +11,12 @@
 import org.ibismoor.membership.api.Heartbeat
 import org.ibismoor.membership.api.RouterRow
 import org.ibismoor.membership.api.RouterState
+import org.ibismoor.membership.api.with
 import org.ibismoor.routing.api.ConfigurationChanged
 import org.ibismoor.routing.api.ControlHeard
 import org.ibismoor.routing.api.LedgerAuthority
 import org.ibismoor.routing.api.LedgerFailed
+import org.ibismoor.routing.api.ReportsReceived
 
 internal const val BEAT_MILLIS = 1_000L
 
@@ -63,24 +65,25 @@
                 state = if (host.isDraining) RouterState.DRAINING else RouterState.SERVING,
                 inFlight = 0,
             ),
-            configuration = host.configuration.number,
-            routerListVersion = host.routerListVersion,
-            reportVersion = host.reportVersion,
+            configuration = host.view.configuration.number,
+            routerListVersion = host.view.routerListVersion,
+            reportVersion = host.view.reportVersion,
         )
 
     private fun beatAnswered(world: World, event: BeatAnswered): World {
         val host = running(world, event.router, event.session) ?: return world
         if (host.isFrozen) return world.after(BEAT_MILLIS, event)
-        val merged = host.with(event.answer)
+        val view = host.view.with(event.answer)
+        val before = host.view.configuration.number
+        val number = view.configuration.number
         val observed = when {
-            merged.configuration.number < host.configuration.number ->
-                world.observed.violated("router ${host.id} went back to ${merged.configuration.number}")
+            number < before -> world.observed.violated("router ${host.id} went back from $before to $number")
             else -> world.observed
         }
+        val changes = if (number == before) emptyList() else listOf(ConfigurationChanged(view.configuration))
+        val reports = listOfNotNull(event.answer.reports?.let(::ReportsReceived))
         val heard = ControlHeard(LedgerAuthority(host.domain))
-        val isChanged = merged.configuration.number != host.configuration.number
-        val changes = if (isChanged) listOf(ConfigurationChanged(merged.configuration)) else emptyList()
-        val next = merged.copy(waiting = merged.waiting.addAll(changes + heard))
+        val next = host.copy(view = view, waiting = host.waiting.addAll(changes + reports + heard))
         return world.copy(routers = world.routers.put(host.id, next), observed = observed)
     }
 
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -5,7 +5,6 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
-import org.ibismoor.configuration.api.ConfigurationTables
 import org.ibismoor.consensus.api.ConsensusRecord
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
@@ -16,6 +15,7 @@
 import org.ibismoor.ledger.api.ChargeRecord
 import org.ibismoor.ledger.api.ChargeRow
 import org.ibismoor.ledger.api.DomainRecord
+import org.ibismoor.membership.api.RouterView
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingTables
 
@@ -39,9 +39,7 @@
     val number: Int,
     val starts: Int = 0,
     val tables: RoutingTables? = null,
-    val configuration: ConfigurationTables = ConfigurationTables(),
-    val routerListVersion: Long = 0,
-    val reportVersion: Long = 0,
+    val view: RouterView = RouterView(),
     val isDraining: Boolean = false,
     val isFrozen: Boolean = false,
     val waiting: PersistentList<RoutingMessage> = persistentListOf(),
