Add the replicated log and the record log

The control processes need a durable log that a majority agrees on, and a file format for it.

The records of a tick are one effect that precedes its messages.

A search over random schedules and measurements are not part of this commit.

Other modules can build on the public functions of both modules.

--- a/consensus/src/main/kotlin/org/ibismoor/consensus/api/ConsensusEffect.kt
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/api/ConsensusEffect.kt
@@ -23,8 +23,12 @@
 /** The proposal is in the leader's log at [index] and [term], not yet committed. */
 data class ProposalAppended(val proposal: Long, val index: Long, val term: Long) : ConsensusEffect
 
-/** This replica does not lead, or stopped leading. [leader] is the replica to ask, if it is known. */
-data class ProposalRefused(val proposal: Long, val leader: ReplicaId?) : ConsensusEffect
+/** The proposal or read is refused for [reason]. [leader] is the replica to ask, if it is known. */
+data class ProposalRefused(
+    val proposal: Long,
+    val leader: ReplicaId?,
+    val reason: ProposalRefusal = ProposalRefusal.NOT_LEADER,
+) : ConsensusEffect
 
 /** A quorum confirmed after the request that this replica leads; entries up to [index] were committed before it. */
 data class ReadConfirmed(val read: Long, val index: Long) : ConsensusEffect
--- /dev/null
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/IncomingSnapshot.kt
@@ -0,0 +1,15 @@
+/**
+ * The parts of a snapshot received so far from the leader of [term]; [length] is their size in characters.
+ */
+package org.ibismoor.consensus.internal
+
+import kotlinx.collections.immutable.PersistentList
+
+internal data class IncomingSnapshot(
+    val term: Long,
+    val index: Long,
+    val parts: PersistentList<String>,
+    val length: Int,
+) {
+    fun plus(part: String): IncomingSnapshot = copy(parts = parts.add(part), length = length + part.length)
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/ReplicationSystem.kt
@@ -0,0 +1,42 @@
+/**
+ * Appends proposals and the entries of the leader, follows the progress of the peers, and sends entries and
+ * heartbeats.
+ */
+package org.ibismoor.consensus.internal
+
+import org.ibismoor.consensus.api.AppendEntries
+import org.ibismoor.consensus.api.ConfirmRead
+import org.ibismoor.consensus.api.ConsensusInput
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.ConsensusTables
+import org.ibismoor.consensus.api.EntriesAppended
+import org.ibismoor.consensus.api.MessageReceived
+import org.ibismoor.consensus.api.Propose
+import org.ibismoor.core.api.Step
+import org.ibismoor.core.api.Tick
+
+internal class ReplicationSystem(settings: ConsensusSettings) : ConsensusSystem {
+    private val requests = LeaderRequests()
+    private val receiver = LogReceiver()
+    private val progress = PeerProgress()
+    private val sender = EntrySender(settings)
+
+    override fun run(tables: ConsensusTables, tick: Tick<ConsensusInput>): ConsensusStep =
+        tables.forEach(tick.received(tables), ::receive)
+            .then { it.forEach(tick.messages, ::request) }
+            .then(sender::send)
+
+    private fun receive(tables: ConsensusTables, received: MessageReceived): ConsensusStep =
+        when (val message = received.message) {
+            is AppendEntries -> receiver.receive(tables, received.from, message)
+            is EntriesAppended -> Step(progress.note(tables, received.from, message))
+            else -> Step(tables)
+        }
+
+    private fun request(tables: ConsensusTables, input: ConsensusInput): ConsensusStep =
+        when (input) {
+            is Propose -> requests.append(tables, input)
+            is ConfirmRead -> requests.confirm(tables, input)
+            else -> Step(tables)
+        }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/org/ibismoor/consensus/ReplicationTest.kt
@@ -0,0 +1,91 @@
+package org.ibismoor.consensus
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.ibismoor.consensus.api.CommandContent
+import org.ibismoor.consensus.api.ConfirmRead
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.ProposalRefusal
+import org.ibismoor.consensus.api.ProposalRefused
+import org.ibismoor.consensus.api.Propose
+import org.ibismoor.consensus.api.ReadConfirmed
+import org.ibismoor.consensus.api.restoreConsensus
+import org.ibismoor.core.api.Timestamp
+
+private fun SimulatedGroup.commit(count: Int) {
+    val leader = awaitLeader()
+    repeat(count) { give(leader, Propose(it.toLong(), "command-$it")) }
+    val last = tables(leader).log.lastIndex
+    runUntil { running().all { it.appliedIndex >= last } }
+}
+
+class ReplicationTest : StringSpec({
+    "a proposal is applied by every replica, in order and once" {
+        val group = SimulatedGroup(11)
+        group.commit(500)
+        group.replicas.keys.map { id -> group.get(id).appliedIndex }.toSet().size shouldBe 1
+    }
+
+    "a killed replica restores what it applied and catches up" {
+        val group = SimulatedGroup(12)
+        group.commit(50)
+        val follower = group.replicas.keys.first { it != group.leader() }
+        val applied = group.get(follower).appliedIndex
+        group.get(follower).kill()
+        group.commit(50)
+        group.start(follower)
+        group.get(follower).appliedIndex shouldBe applied
+        group.runUntil { get(follower).appliedIndex == checker.commitIndex }
+    }
+
+    "restore gives the committed entries after the snapshot, which are not emitted again" {
+        val group = SimulatedGroup(13)
+        group.commit(20)
+        val replica = group.get(A)
+        val restored = restoreConsensus(A, replica.records, 1, Timestamp(0))
+        restored.snapshot shouldBe null
+        restored.committed.last().content shouldBe CommandContent("command-19")
+        restored.tables.emittedIndex shouldBe replica.appliedIndex
+    }
+
+    "a proposal to a follower is refused with the leader's name" {
+        val group = SimulatedGroup(14)
+        val leader = group.awaitLeader()
+        group.run(200)
+        val follower = group.replicas.keys.first { it != leader }
+        group.give(follower, Propose(7, "x"))
+        group.effects shouldContain (follower to ProposalRefused(7, leader))
+    }
+
+    "a proposal whose leader is cut off is refused as open" {
+        val group = SimulatedGroup(15)
+        val leader = group.awaitLeader()
+        group.isolate(leader)
+        group.give(leader, Propose(7, "x"))
+        group.run(3_000)
+        group.effects shouldContain (leader to ProposalRefused(7, null, ProposalRefusal.RESULT_OPEN))
+    }
+
+    "a proposal larger than the limit is refused before it is appended" {
+        val group = SimulatedGroup(16)
+        val leader = group.awaitLeader()
+        group.give(leader, Propose(7, "x".repeat(ConsensusSettings.MAXIMUM_PAYLOAD_CHARACTERS + 1)))
+        group.effects shouldContain (leader to ProposalRefused(7, leader, ProposalRefusal.TOO_LARGE))
+    }
+
+    "a read is confirmed by a quorum and not by a leader that is cut off" {
+        val group = SimulatedGroup(17)
+        group.commit(3)
+        val leader = group.leader()
+        group.give(leader, ConfirmRead(1))
+        group.run(50)
+        group.effects shouldContain (leader to ReadConfirmed(1, group.checker.commitIndex))
+        group.isolate(leader)
+        group.give(leader, ConfirmRead(2))
+        group.run(3_000)
+        group.effects.map { it.second }.filterIsInstance<ReadConfirmed>().map { it.read } shouldBe listOf(1L)
+        group.leader() shouldNotBe leader
+    }
+})
--- /dev/null
+++ b/consensus/src/test/kotlin/org/ibismoor/consensus/SimulatedGroup.kt
@@ -0,0 +1,179 @@
+/**
+ * A group of replicas over a simulated network and virtual time, driven by one seed. Safety is checked at each step.
+ */
+package org.ibismoor.consensus
+
+import org.ibismoor.consensus.api.ConsensusEffect
+import org.ibismoor.consensus.api.ConsensusInput
+import org.ibismoor.consensus.api.ConsensusMessage
+import org.ibismoor.consensus.api.ConsensusRecord
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.EntriesCommitted
+import org.ibismoor.consensus.api.EntriesRecord
+import org.ibismoor.consensus.api.MessageReceived
+import org.ibismoor.consensus.api.PersistRecords
+import org.ibismoor.consensus.api.RestoreSnapshot
+import org.ibismoor.consensus.api.SendMessage
+import org.ibismoor.consensus.api.createConsensus
+import org.ibismoor.consensus.api.initialRecords
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.WallTime
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+internal fun replica(name: String, epoch: Int = 1) = ReplicaId(FailureDomainId(name), epoch)
+
+internal val A = replica("a")
+internal val B = replica("b")
+internal val C = replica("c")
+
+/** What goes wrong with messages and disks of a simulated group. */
+internal data class SimulatedFaults(
+    val lossPercent: Int = 0,
+    val duplicatePercent: Int = 0,
+    val maximumDelayMillis: Int = 2,
+    /** The fault that a search must find: messages leave before the records they depend on are synced. */
+    val isSentBeforeSync: Boolean = false,
+)
+
+private data class InFlight(
+    val at: Long,
+    val order: Long,
+    val from: ReplicaId,
+    val to: ReplicaId,
+    val message: ConsensusMessage,
+)
+
+internal class SimulatedGroup(
+    seed: Long,
+    members: List<ReplicaId> = listOf(A, B, C),
+    settings: ConsensusSettings = ConsensusSettings(),
+    var faults: SimulatedFaults = SimulatedFaults(),
+) {
+    val random = Random(seed)
+    val checker = SafetyChecker()
+    val replicas = sortedMapOf<ReplicaId, SimulatedReplica>()
+    val effects = mutableListOf<Pair<ReplicaId, ConsensusEffect>>()
+    val cuts = mutableSetOf<Pair<ReplicaId, ReplicaId>>()
+    var now = 0L
+        private set
+    private val machine = createConsensus(settings)
+    private val network = PriorityQueue(compareBy<InFlight>({ it.at }, { it.order }))
+    private var order = 0L
+
+    /** The next tick of this replica is interrupted by a kill in the middle of its effects. */
+    var killDuringTick: ReplicaId? = null
+
+    init {
+        members.forEach { add(it, initialRecords(members)) }
+    }
+
+    fun add(id: ReplicaId, records: List<ConsensusRecord>) {
+        val replica = SimulatedReplica(id, checker)
+        replica.records = records
+        replicas[id] = replica
+        start(id)
+    }
+
+    fun start(id: ReplicaId) = get(id).start(Timestamp(now), random.nextLong())
+
+    fun get(id: ReplicaId): SimulatedReplica = checkNotNull(replicas[id])
+
+    fun tables(id: ReplicaId) = checkNotNull(get(id).tables)
+
+    fun running(): List<SimulatedReplica> = replicas.values.filter { it.tables != null && !it.isFrozen }
+
+    fun leaders(): List<ReplicaId> = running().filter { it.tables?.leadership != null }.map { it.id }
+
+    fun leader(): ReplicaId = leaders().maxBy { tables(it).term }
+
+    fun isolate(id: ReplicaId) {
+        replicas.keys.filter { it != id }.forEach { cuts += listOf(id to it, it to id) }
+    }
+
+    fun give(id: ReplicaId, input: ConsensusInput) {
+        get(id).inbox += input
+        tick(get(id))
+    }
+
+    fun run(millis: Long) {
+        val end = now + millis
+        while (step(end)) Unit
+        now = end
+    }
+
+    /** Runs until [isDone], at most [limitMillis]. */
+    fun runUntil(limitMillis: Long = 20_000, isDone: SimulatedGroup.() -> Boolean) {
+        val end = now + limitMillis
+        while (!isDone() && step(end)) Unit
+        checker.ensure(isDone()) { "no progress within $limitMillis ms: ${replicas.values.map { it.tables?.term }}" }
+    }
+
+    fun awaitLeader(): ReplicaId {
+        runUntil { leaders().isNotEmpty() && tables(leader()).let { it.commitIndex >= it.leadership!!.firstIndex } }
+        return leader()
+    }
+
+    /** Handles the next event up to [end]; false if there is none. */
+    private fun step(end: Long): Boolean {
+        val due = running()
+            .mapNotNull { replica -> replica.tables?.let(machine::nextDue)?.let { it.millis to replica } }
+            .minByOrNull { it.first }
+        val arrival = network.peek()
+        val isArrival = arrival != null && (due == null || arrival.at <= due.first)
+        val at = if (isArrival) arrival!!.at else due?.first ?: Long.MAX_VALUE
+        if (at > end) return false
+        now = maxOf(now, at)
+        if (isArrival) deliver(network.remove()) else due?.second?.let(::tick)
+        return true
+    }
+
+    private fun deliver(flight: InFlight) {
+        val target = replicas[flight.to]?.takeIf { it.tables != null } ?: return
+        target.inbox += MessageReceived(flight.from, flight.message)
+        if (!target.isFrozen) tick(target)
+    }
+
+    fun tick(replica: SimulatedReplica) {
+        val tables = replica.tables ?: return
+        val step = machine.run(tables, Tick(Timestamp(now), WallTime(now), replica.inbox.toList()))
+        replica.inbox.clear()
+        val written = step.effects.filterIsInstance<PersistRecords>().flatMap { it.records }
+        replica.take(step.tables, written.filterIsInstance<EntriesRecord>())
+        val isKilled = killDuringTick == replica.id && step.effects.isNotEmpty()
+        val ordered = if (faults.isSentBeforeSync) step.effects.sortedBy { it !is SendMessage } else step.effects
+        val performed = if (isKilled) ordered.take(random.nextInt(ordered.size)) else ordered
+        performed.forEach { perform(replica, it) }
+        if (isKilled) interrupt(replica, ordered[performed.size])
+    }
+
+    /** A kill within a write leaves a prefix of its records. */
+    private fun interrupt(replica: SimulatedReplica, effect: ConsensusEffect) {
+        if (effect is PersistRecords) replica.records += effect.records.take(random.nextInt(effect.records.size + 1))
+        replica.kill()
+        killDuringTick = null
+    }
+
+    private fun perform(replica: SimulatedReplica, effect: ConsensusEffect) {
+        effects += replica.id to effect
+        when (effect) {
+            is PersistRecords -> replica.records += effect.records
+            is SendMessage -> send(replica.id, effect)
+            is EntriesCommitted -> replica.apply(effect.entries)
+            is RestoreSnapshot -> replica.restore(effect)
+            else -> Unit
+        }
+    }
+
+    private fun send(from: ReplicaId, effect: SendMessage) {
+        if (from to effect.to in cuts || random.nextInt(100) < faults.lossPercent) return
+        val copies = if (random.nextInt(100) < faults.duplicatePercent) 2 else 1
+        repeat(copies) {
+            val delay = 1 + random.nextInt(faults.maximumDelayMillis)
+            network += InFlight(now + delay, order++, from, effect.to, effect.message)
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/org/ibismoor/consensus/SimulatedReplica.kt
@@ -0,0 +1,81 @@
+/**
+ * One replica of a simulated group: its durable records, its tables while it runs, and a state machine that keeps the
+ * digest of the entries it applied.
+ */
+package org.ibismoor.consensus
+
+import org.ibismoor.consensus.api.ConsensusEntry
+import org.ibismoor.consensus.api.ConsensusInput
+import org.ibismoor.consensus.api.ConsensusRecord
+import org.ibismoor.consensus.api.ConsensusTables
+import org.ibismoor.consensus.api.EntriesRecord
+import org.ibismoor.consensus.api.RestoreSnapshot
+import org.ibismoor.consensus.api.SnapshotTaken
+import org.ibismoor.consensus.api.compactRecords
+import org.ibismoor.consensus.api.restoreConsensus
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Timestamp
+
+internal class SimulatedReplica(val id: ReplicaId, private val checker: SafetyChecker) {
+    var records: List<ConsensusRecord> = emptyList()
+    var tables: ConsensusTables? = null
+        private set
+    var isFrozen = false
+    var appliedIndex = 0L
+        private set
+    private var digest = 0L
+    val inbox = mutableListOf<ConsensusInput>()
+
+    /** Replaces the tables and checks what the replica appended since. */
+    fun take(next: ConsensusTables, appended: List<EntriesRecord>) {
+        tables = next
+        checker.checkLeader(next)
+        appended.forEach { record ->
+            next.log.termAt(record.entries.first().index - 1)?.let { checker.checkWritten(record.entries, it) }
+        }
+    }
+
+    fun start(now: Timestamp, seed: Long) {
+        val restored = restoreConsensus(id, records, seed, now)
+        tables = restored.tables
+        isFrozen = false
+        appliedIndex = 0
+        digest = 0
+        restored.snapshot?.let(::restore)
+        apply(restored.committed)
+    }
+
+    fun kill() {
+        tables = null
+        inbox.clear()
+    }
+
+    fun apply(entries: List<ConsensusEntry>) {
+        if (entries.isEmpty()) return
+        val first = entries.first()
+        checker.ensure(first.index == appliedIndex + 1) { "$id applies $first after $appliedIndex" }
+        digest = checker.checkApplied(id, entries)
+        appliedIndex = entries.last().index
+    }
+
+    fun restore(snapshot: RestoreSnapshot) {
+        checker.ensure(snapshot.index >= appliedIndex) { "$id goes back from $appliedIndex to ${snapshot.index}" }
+        val isRight = snapshot.payload == payload(snapshot.index, checker.digest(snapshot.index))
+        checker.ensure(isRight) { "$id restores another snapshot of ${snapshot.index}" }
+        appliedIndex = snapshot.index
+        digest = checker.digest(snapshot.index)
+    }
+
+    fun snapshot(): SnapshotTaken = SnapshotTaken(appliedIndex, payload(appliedIndex, digest))
+
+    fun compact() {
+        tables?.let { records = compactRecords(it) }
+    }
+
+    private fun payload(index: Long, digest: Long): String = "$index:$digest:" + "x".repeat(PADDING)
+
+    private companion object {
+        /** Makes a snapshot several parts long in tests that send small parts. */
+        const val PADDING = 50
+    }
+}
--- /dev/null
+++ b/storage/src/main/kotlin/org/ibismoor/storage/internal/OpenFileLog.kt
@@ -0,0 +1,77 @@
+/**
+ * Opens a log file: takes its lock, reads its records and cuts a torn tail.
+ */
+package org.ibismoor.storage.internal
+
+import org.ibismoor.storage.api.OpenedLog
+import org.ibismoor.storage.api.StorageException
+import org.ibismoor.storage.api.TornTail
+import java.io.IOException
+import java.nio.channels.FileChannel
+import java.nio.channels.OverlappingFileLockException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+
+/** A log is read at once, so a larger file is refused. Snapshots keep it far smaller. */
+private const val MAXIMUM_LOG_BYTES = 1L shl 30
+
+internal fun openFileLog(folder: Path, name: String): OpenedLog {
+    val paths = LogPaths(folder, name)
+    return try {
+        Files.createDirectories(folder)
+        openLocked(paths, takeLock(paths))
+    } catch (e: IOException) {
+        throw StorageException("cannot open ${paths.file}: $e", e)
+    }
+}
+
+private fun openLocked(paths: LogPaths, lock: FileChannel): OpenedLog {
+    var isOpen = false
+    try {
+        val opened = openFile(paths, lock)
+        isOpen = true
+        return opened
+    } finally {
+        if (!isOpen) lock.close()
+    }
+}
+
+private fun takeLock(paths: LogPaths): FileChannel {
+    val channel = FileChannel.open(paths.lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)
+    val lock = try {
+        channel.tryLock()
+    } catch (_: OverlappingFileLockException) {
+        null
+    }
+    if (lock == null) {
+        channel.close()
+        throw StorageException("${paths.file} is in use by another process; stop that one first")
+    }
+    return channel
+}
+
+private fun openFile(paths: LogPaths, lock: FileChannel): OpenedLog {
+    Files.deleteIfExists(paths.next)
+    val channel = FileChannel.open(
+        paths.file,
+        StandardOpenOption.CREATE,
+        StandardOpenOption.READ,
+        StandardOpenOption.WRITE,
+    )
+    syncFolder(paths.folder)
+    val size = channel.size()
+    if (size > MAXIMUM_LOG_BYTES) throw StorageException("${paths.file} is larger than $MAXIMUM_LOG_BYTES bytes")
+    val content = readContent(paths.file.toString(), Files.readAllBytes(paths.file))
+    val torn = cut(paths, channel, content.end.toLong(), size)
+    return OpenedLog(FileLog(paths, lock, channel, content.append), content.records, torn)
+}
+
+private fun cut(paths: LogPaths, channel: FileChannel, end: Long, size: Long): TornTail? =
+    if (end == size) {
+        null
+    } else {
+        channel.truncate(end)
+        channel.force(true)
+        TornTail(paths.file.toString(), end, size - end)
+    }
--- /dev/null
+++ b/storage/src/main/kotlin/org/ibismoor/storage/internal/RecordFormat.kt
@@ -0,0 +1,72 @@
+/**
+ * The file format: each record is a header and its text in UTF-8. The header holds a marker that UTF-8 cannot contain,
+ * the length of the text in bytes, the number of the append, the records that follow in the same append, and the
+ * CRC-32C of all other header fields and the text. Integers are big-endian.
+ *
+ * Each append is synced before the next begins, so an interrupted write can only damage records of the last append. A
+ * bad record with a valid record of a later append behind it is therefore damage and not a torn tail.
+ */
+package org.ibismoor.storage.internal
+
+import org.ibismoor.storage.api.MAXIMUM_RECORD_BYTES
+import org.ibismoor.storage.api.StorageException
+import java.nio.ByteBuffer
+import java.util.zip.CRC32C
+
+private const val MARKER = 0xF5_49_52_FF.toInt()
+internal const val HEADER_BYTES = 24
+private const val CHECKSUM_OFFSET = 20
+
+/** A record as read: its text, the offset behind it, and its place in its append. */
+internal data class ReadRecord(val text: String, val end: Int, val append: Long, val following: Int)
+
+internal fun recordBytes(record: String): Long = HEADER_BYTES + record.toByteArray().size.toLong()
+
+internal fun checkSize(file: String, record: String) {
+    if (recordBytes(record) - HEADER_BYTES > MAXIMUM_RECORD_BYTES) {
+        throw StorageException("cannot write $file: a record is larger than $MAXIMUM_RECORD_BYTES bytes")
+    }
+}
+
+internal fun checkUsable(isUsable: Boolean, file: String) {
+    if (!isUsable) throw StorageException("$file accepts no records: it is closed or an earlier write failed")
+}
+
+internal fun encode(records: List<String>, append: Long): ByteBuffer {
+    val texts = records.map { it.toByteArray() }
+    val total = texts.sumOf { HEADER_BYTES + it.size.toLong() }
+    if (total > Int.MAX_VALUE) throw StorageException("cannot write $total bytes at once")
+    val buffer = ByteBuffer.allocate(total.toInt())
+    texts.forEachIndexed { index, text -> put(buffer, text, append, texts.size - 1 - index) }
+    return buffer.flip()
+}
+
+private fun put(buffer: ByteBuffer, text: ByteArray, append: Long, following: Int) {
+    val start = buffer.position()
+    buffer.putInt(MARKER).putInt(text.size).putLong(append).putInt(following).putInt(0).put(text)
+    buffer.putInt(start + CHECKSUM_OFFSET, checksum(buffer, start, text.size))
+}
+
+private fun checksum(buffer: ByteBuffer, start: Int, length: Int): Int {
+    val crc = CRC32C()
+    crc.update(buffer.array(), start, CHECKSUM_OFFSET)
+    crc.update(buffer.array(), start + HEADER_BYTES, length)
+    return crc.value.toInt()
+}
+
+/** The record at [start]; null if there is no whole and valid one. [buffer] is backed by an array. */
+internal fun decode(buffer: ByteBuffer, start: Int): ReadRecord? {
+    val isHeaderWhole = buffer.limit() - start >= HEADER_BYTES && buffer.getInt(start) == MARKER
+    val length = if (isHeaderWhole) buffer.getInt(start + Int.SIZE_BYTES) else -1
+    val isWhole = length in 0..MAXIMUM_RECORD_BYTES && length <= buffer.limit() - start - HEADER_BYTES
+    return if (isWhole && buffer.getInt(start + CHECKSUM_OFFSET) == checksum(buffer, start, length)) {
+        ReadRecord(
+            text = String(buffer.array(), start + HEADER_BYTES, length, Charsets.UTF_8),
+            end = start + HEADER_BYTES + length,
+            append = buffer.getLong(start + 2 * Int.SIZE_BYTES),
+            following = buffer.getInt(start + 2 * Int.SIZE_BYTES + Long.SIZE_BYTES),
+        )
+    } else {
+        null
+    }
+}
