Add the fleet state machine, the domain ledger and the share allocator

Cause: the modules that build on the ledger need its machines and not only their types. Charges of a replica are numbered, so a batch may be sent again in another cut after a restart.

--- /dev/null
+++ b/configuration/src/main/kotlin/org/ibismoor/configuration/api/Publication.kt
@@ -0,0 +1,9 @@
+/**
+ * An accepted publication: its number and the digest of the whole content that the operator sent.
+ */
+package org.ibismoor.configuration.api
+
+import kotlinx.serialization.Serializable
+
+@Serializable
+data class Publication(val number: ConfigurationNumber, val digest: String)
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/BatchRow.kt
@@ -0,0 +1,9 @@
+/**
+ * A batch of requests that is not fully decided: the answers so far by position.
+ */
+package org.ibismoor.ledger.api
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+
+data class BatchRow(val size: Int, val answers: PersistentMap<Int, LedgerAnswer> = persistentHashMapOf())
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/BudgetRow.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/BudgetRow.kt
@@ -1,6 +1,7 @@
 /**
  * A budget as the replicated log knows it: the granted total, the share of each control replica and what was written
- * off with lost disks, in budget tokens.
+ * off with lost disks, in budget tokens. Written-off tokens stay issued to the retired replica, so they are outside
+ * the pool; they shrink when that replica comes back and merges charges or returns tokens.
  */
 package org.ibismoor.ledger.api
 
@@ -14,4 +15,9 @@
     val granted: Long,
     val shares: Table<ReplicaId, ShareRow> = persistentHashMapOf(),
     val writtenOff: Long = 0,
-)
+) {
+    /** Tokens that are not issued to any replica. */
+    val pool: Long get() = granted - shares.values.sumOf { it.issued - it.returned }
+
+    fun share(replica: ReplicaId): ShareRow = shares[replica] ?: ShareRow()
+}
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/ClaimRow.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/ClaimRow.kt
@@ -1,5 +1,7 @@
 /**
- * A claim on a request key. [status] is the recorded status once the request ran.
+ * A claim on a request key. [status] is the recorded status once the request ran. A row with [isReleased] holds
+ * no claim; it keeps a late copy of the released attempt's command from claiming the key again. [number] is the
+ * number of the claim in its retention order.
  */
 package org.ibismoor.ledger.api
 
@@ -14,4 +16,6 @@
     val body: BodyDigest,
     val claimedAt: WallTime,
     val status: Int? = null,
+    val isReleased: Boolean = false,
+    val number: Long = 0,
 )
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainLedgerMessage.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainLedgerMessage.kt
@@ -21,5 +21,8 @@
 /** A command that this ledger proposed was committed with [result], or failed if it is null. */
 data class CommandFinished(val command: FleetCommand, val result: FleetResult?) : DomainLedgerMessage
 
+/** The leader has no tokens left for these budgets, and no other replica has a surplus. */
+data class SharesExhausted(val budgets: List<BudgetId>) : DomainLedgerMessage
+
 /** The leader asks for tokens back, at most [amount]. */
 data class ReturnRequested(val budget: BudgetId, val amount: Long) : DomainLedgerMessage
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainRecord.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainRecord.kt
@@ -14,7 +14,10 @@
 @Serializable
 sealed interface DomainRecord
 
-/** A reservation, with a claim if [isClaim]. */
+/**
+ * A reservation, with a claim if [isClaim]. It replaces an open reservation of the same key. A rerun of a charged
+ * request has [isRerun] and the amount 0.
+ */
 @Serializable
 @SerialName("reserved")
 data class ReservationRecord(
@@ -25,6 +28,7 @@
     val body: BodyDigest,
     val isClaim: Boolean,
     val madeAt: WallTime,
+    val isRerun: Boolean = false,
 ) : DomainRecord
 
 /** A charge, which ends the reservation. */
@@ -32,17 +36,80 @@
 @SerialName("charged")
 data class ChargeRecord(val charge: ChargeRow, val status: Int) : DomainRecord
 
-/** The reservation is released without a charge; the claim stays if [keepsClaim]. */
+/**
+ * The reservation is released without a charge; the claim stays if [keepsClaim]. With [isUnconfirmedClaim] the quorum
+ * had not answered the claim yet and has to be told of the release. With [isSettled] it ends a rerun that was settled.
+ */
 @Serializable
 @SerialName("released")
-data class ReleaseRecord(val attempt: AttemptId, val key: RequestKey, val keepsClaim: Boolean) : DomainRecord
+data class ReleaseRecord(
+    val attempt: AttemptId,
+    val key: RequestKey,
+    val keepsClaim: Boolean,
+    val isUnconfirmedClaim: Boolean = false,
+    val isSettled: Boolean = false,
+) : DomainRecord
 
 /** Tokens given back to the pool; [returned] is the cumulative counter after it. */
 @Serializable
 @SerialName("returned")
 data class ReturnRecord(val budget: BudgetId, val returned: Long) : DomainRecord
 
-/** Charges up to batch [sequence] are merged at the quorum. */
+/** Charges up to number [sequence] are merged at the quorum. */
 @Serializable
 @SerialName("merged")
 data class MergedRecord(val sequence: Long) : DomainRecord
+
+/** The quorum knows how the claim of [key] ended. */
+@Serializable
+@SerialName("claim_reported")
+data class ClaimReportedRecord(val key: RequestKey) : DomainRecord
+
+/** Rows whose retention ended are dropped: charges, claims and released attempts up to these numbers. */
+@Serializable
+@SerialName("dropped")
+data class DroppedRecord(val charges: Long, val claims: Long, val released: Long) : DomainRecord
+
+/** First record of a compacted log: the counters that the later records continue. */
+@Serializable
+@SerialName("checkpoint")
+data class CheckpointRecord(
+    val firstCharge: Long,
+    val nextCharge: Long,
+    val mergedCharge: Long,
+    val firstClaim: Long,
+    val nextClaim: Long,
+    val firstReleased: Long,
+    val nextReleased: Long,
+    val latestTime: WallTime,
+) : DomainRecord
+
+/** Counters of one budget in a compacted log. */
+@Serializable
+@SerialName("budget")
+data class BudgetRecord(val budget: BudgetId, val spent: Long, val returned: Long) : DomainRecord
+
+/** A charge that a compacted log retains under its [number]. */
+@Serializable
+@SerialName("kept_charge")
+data class KeptChargeRecord(val number: Long, val row: DomainChargeRow) : DomainRecord
+
+/** A claim that a compacted log retains. */
+@Serializable
+@SerialName("kept_claim")
+data class KeptClaimRecord(val key: RequestKey, val row: ClaimRow) : DomainRecord
+
+/** An open reservation that a compacted log retains. */
+@Serializable
+@SerialName("kept_reservation")
+data class KeptReservationRecord(val key: RequestKey, val row: ReservationRow) : DomainRecord
+
+/** A released attempt that a compacted log retains. */
+@Serializable
+@SerialName("kept_release")
+data class KeptReleaseRecord(val attempt: AttemptId, val row: ReleasedRow) : DomainRecord
+
+/** A command about a claim that a compacted log has still to report to the quorum. */
+@Serializable
+@SerialName("kept_report")
+data class KeptReportRecord(val key: RequestKey, val command: FleetCommand) : DomainRecord
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/FleetCommand.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/FleetCommand.kt
@@ -21,7 +21,9 @@
 data class Publish(val delta: ConfigurationDelta, val digest: String) : FleetCommand
 
 /**
- * Charges and counters of one replica. [sequence] grows by one with each batch, so a repeated batch is ignored.
+ * Charges and counters of one replica. The charges of a replica are numbered from 1 in the order in which they were
+ * made; [sequence] is the number of the last one in this batch, so a charge that is sent again is recognised, in
+ * whatever batch it comes. All charges made before [through] are in this batch or an earlier one.
  */
 @Serializable
 @SerialName("merge")
@@ -30,6 +32,7 @@
     val sequence: Long,
     val charges: List<ChargeRow>,
     val counters: List<ShareReport>,
+    val through: WallTime = WallTime(0),
 ) : FleetCommand
 
 /** Moves tokens from the pool to shares. An issue that the pool does not cover is cut to what it covers. */
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/FleetResult.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/FleetResult.kt
@@ -43,3 +43,8 @@
     val outcome: Outcome,
     val recordedStatus: Int? = null,
 ) : FleetResult
+
+/** The command breaks a rule of the state machine and changed nothing. */
+@Serializable
+@SerialName("command_refused")
+data class CommandRefused(val problem: String) : FleetResult
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/MergeRow.kt
@@ -0,0 +1,17 @@
+/**
+ * Progress of merging at the quorum: when the next batch is due, since when one is in flight, and the budgets whose
+ * counters changed since the last batch that arrived. [sent] are the budgets of the batch in flight.
+ */
+package org.ibismoor.ledger.api
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.Timestamp
+
+data class MergeRow(
+    val due: Timestamp,
+    val inFlight: MergeCharges? = null,
+    val dirty: PersistentSet<BudgetId> = persistentHashSetOf(),
+    val sent: PersistentSet<BudgetId> = persistentHashSetOf(),
+)
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/RetentionMark.kt
@@ -0,0 +1,8 @@
+/**
+ * The last numbers of the retention orders of a domain ledger at [time].
+ */
+package org.ibismoor.ledger.api
+
+import org.ibismoor.core.api.Timestamp
+
+data class RetentionMark(val time: Timestamp, val charge: Long, val claim: Long, val released: Long)
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/ShareIssue.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/ShareIssue.kt
@@ -1,5 +1,6 @@
 /**
- * An increase of the share of [replica] by [amount] budget tokens.
+ * An increase of the share of [replica] by [amount] budget tokens. With [issuedBefore] it takes effect only while the
+ * issued counter of the share has that value, so that a command that is proposed again issues nothing twice.
  */
 package org.ibismoor.ledger.api
 
@@ -8,4 +9,9 @@
 import org.ibismoor.core.api.ReplicaId
 
 @Serializable
-data class ShareIssue(val budget: BudgetId, val replica: ReplicaId, val amount: Long)
+data class ShareIssue(
+    val budget: BudgetId,
+    val replica: ReplicaId,
+    val amount: Long,
+    val issuedBefore: Long? = null,
+)
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/FleetMerges.kt
@@ -0,0 +1,95 @@
+/**
+ * Merging the charges and counters of a replica into the fleet tables. A request key is billed by the charge that is
+ * merged first; each later one is voided, and its amount goes back to the share that paid it.
+ */
+package org.ibismoor.ledger.internal
+
+import kotlinx.collections.immutable.PersistentMap
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.ledger.api.Applied
+import org.ibismoor.ledger.api.BudgetRow
+import org.ibismoor.ledger.api.ChargeRow
+import org.ibismoor.ledger.api.CommandRefused
+import org.ibismoor.ledger.api.FleetStep
+import org.ibismoor.ledger.api.FleetTables
+import org.ibismoor.ledger.api.MergeCharges
+import org.ibismoor.ledger.api.RetainedKey
+import org.ibismoor.ledger.api.ShareReport
+import org.ibismoor.ledger.api.ShareRow
+
+internal fun applyMerge(tables: FleetTables, command: MergeCharges): FleetStep {
+    val merged = tables.mergedSequences[command.replica] ?: 0
+    val missing = command.sequence - command.charges.size - merged
+    return if (missing > 0) {
+        FleetStep(tables, CommandRefused("charges after $merged of ${command.replica} are missing"))
+    } else {
+        merge(tables, command, command.charges.drop((-missing).coerceAtMost(command.charges.size.toLong()).toInt()))
+    }
+}
+
+private fun merge(tables: FleetTables, command: MergeCharges, charges: List<ChargeRow>): FleetStep {
+    val counted = command.counters.fold(tables) { t, report -> mergeCounters(t, command.replica, report) }
+    val billed = charges.fold(counted) { t, charge -> mergeCharge(t, charge) }
+    val touched = command.counters.map { it.budget } + charges.map { it.budget }
+    val changed = touched.filterTo(linkedSetOf()) { billed.budgets[it] !== tables.budgets[it] }
+    return FleetStep(dropOldKeys(markMerged(billed, command)), Applied, changed)
+}
+
+private fun markMerged(tables: FleetTables, command: MergeCharges): FleetTables {
+    val replica = command.replica
+    val through = tables.mergedThrough[replica]
+    return tables.copy(
+        mergedSequences = tables.mergedSequences.put(
+            replica,
+            maxOf(tables.mergedSequences[replica] ?: 0, command.sequence),
+        ),
+        mergedThrough = tables.mergedThrough.put(replica, maxOf(through ?: command.through, command.through)),
+        latestTime = maxOf(tables.latestTime, command.through),
+    )
+}
+
+private fun mergeCounters(tables: FleetTables, replica: ReplicaId, report: ShareReport): FleetTables =
+    changeShare(tables, report.budget, replica) { share ->
+        share.copy(
+            spent = maxOf(share.spent, report.spent),
+            returned = maxOf(share.returned, report.returned),
+        )
+    }
+
+private fun mergeCharge(tables: FleetTables, charge: ChargeRow): FleetTables =
+    if (charge.key in tables.charges) {
+        changeShare(tables, charge.budget, charge.replica) { it.copy(voided = it.voided + charge.amount) }
+    } else {
+        tables.copy(
+            charges = tables.charges.put(charge.key, charge),
+            chargeOrder = tables.chargeOrder.plus(RetainedKey(charge.key, maxOf(tables.latestTime, charge.chargedAt))),
+        )
+    }
+
+/** The tables with a changed share row, and with the written-off total that follows from it. */
+internal fun changeShare(
+    tables: FleetTables,
+    budget: BudgetId,
+    replica: ReplicaId,
+    change: (ShareRow) -> ShareRow,
+): FleetTables {
+    val row = tables.budgets[budget] ?: return tables
+    val before = row.share(replica)
+    val after = change(before)
+    return if (after == before) tables else tables.copy(budgets = withShare(tables, budget, row, replica to after))
+}
+
+private fun withShare(
+    tables: FleetTables,
+    budget: BudgetId,
+    row: BudgetRow,
+    share: Pair<ReplicaId, ShareRow>,
+): PersistentMap<BudgetId, BudgetRow> {
+    val shares = row.shares.put(share.first, share.second)
+    val next = row.copy(shares = shares, writtenOff = writtenOff(tables, shares))
+    return tables.budgets.put(budget, next)
+}
+
+internal fun writtenOff(tables: FleetTables, shares: Map<ReplicaId, ShareRow>): Long =
+    if (tables.retired.isEmpty()) 0 else shares.filterKeys(tables::isRetired).values.sumOf { it.remaining }
--- /dev/null
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/ShareGrants.kt
@@ -0,0 +1,66 @@
+/**
+ * New grants and views of budgets for the sizing policy.
+ */
+package org.ibismoor.ledger.internal
+
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.ledger.api.BudgetRow
+import org.ibismoor.ledger.api.FleetTables
+import org.ibismoor.ledger.api.IssueShares
+import org.ibismoor.ledger.api.IssueTokens
+import org.ibismoor.ledger.api.ShareHolder
+import org.ibismoor.ledger.api.ShareIssue
+import org.ibismoor.ledger.api.ShareSizingPolicy
+import org.ibismoor.ledger.api.ShareTables
+import org.ibismoor.ledger.api.ShareView
+
+/**
+ * What was granted to [budget] since the last observation. The first observation after a start shows no difference,
+ * so only a budget of which nothing was ever issued counts as new then.
+ */
+internal fun newlyGranted(tables: ShareTables, fleet: FleetTables, budget: BudgetId): Long {
+    val row = fleet.budgets[budget] ?: return 0
+    val before = tables.fleet.budgets[budget]?.granted ?: 0
+    val isUnissued = row.shares.values.all { it.issued == 0L }
+    return if (tables.hasObserved || isUnissued) row.granted - before else 0
+}
+
+internal fun issueGrant(
+    tables: ShareTables,
+    budget: BudgetId,
+    amount: Long,
+    policy: ShareSizingPolicy,
+): IssueTokens? {
+    val view = viewOf(tables, budget)
+    val issues = if (amount > 0 && view.holders.isNotEmpty()) policy.distribute(view, amount) else emptyMap()
+    return issueTokens(tables, budget, issues)
+}
+
+/** The effect that issues these amounts, or null if there are none. */
+internal fun issueTokens(tables: ShareTables, budget: BudgetId, amounts: Map<ReplicaId, Long>): IssueTokens? {
+    val row = tables.fleet.budgets[budget] ?: return null
+    val issues = amounts.filterValues { it > 0 }.map { (replica, amount) ->
+        ShareIssue(budget, replica, amount, issuedBefore = row.share(replica).issued)
+    }
+    return if (issues.isEmpty()) null else IssueTokens(IssueShares(issues))
+}
+
+internal fun viewOf(tables: ShareTables, budget: BudgetId): ShareView {
+    val row = tables.fleet.budgets[budget] ?: BudgetRow(0)
+    val expected = tables.expected[budget].orEmpty()
+    return ShareView(
+        budget = budget,
+        pool = row.pool,
+        heldBackPerMille = tables.fleet.configuration.settings.heldBackPerMille,
+        holders = reachableReplicas(tables).map { ShareHolder(it, row.share(it).remaining, expected[it] ?: 0) },
+    )
+}
+
+internal fun liveReplicas(fleet: FleetTables): List<ReplicaId> =
+    fleet.configuration.controlMembers.keys.ifEmpty { fleet.mergedSequences.keys }
+        .filterNot(fleet::isRetired)
+        .sorted()
+
+private fun reachableReplicas(tables: ShareTables): List<ReplicaId> =
+    liveReplicas(tables.fleet).filter { tables.reachable?.contains(it) ?: true }
