Add router decisions and membership as pure machines

Routers and control processes had message types but no decisions. The routing machine takes a request from its arrival over the queue, the reservation, the dispatch and the charge to exactly one release or refusal. Reservations that no stream uses any more are kept in a closing table until the ledger answers or its session has expired. The membership machine answers heartbeats with composed configuration deltas, keeps the router list and the leaving state of upstreams, and notes when a configuration is in force.

--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/api/AddressLists.kt
@@ -0,0 +1,40 @@
+/**
+ * Answers "which address".
+ */
+package org.ibismoor.membership.api
+
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.SeededRandom
+
+private const val TIME_TO_LIVE_SECONDS = 10
+private const val LARGEST_LIST = 8
+
+/**
+ * Several addresses of serving routers, those of the caller's domain first, each part in an order drawn from
+ * [random], so that callers spread over the routers.
+ */
+fun addressList(
+    routers: Collection<RouterRow>,
+    caller: FailureDomainId?,
+    keyPrefix: String,
+    random: SeededRandom,
+): AddressList {
+    val serving = routers.filter { it.state == RouterState.SERVING }.sortedBy { it.id.text }
+    val near = shuffled(serving, random).sortedBy { it.domain != caller }
+    return AddressList(
+        addresses = near.take(LARGEST_LIST).map { Address(it.baseUrl, it.domain) },
+        timeToLiveSeconds = TIME_TO_LIVE_SECONDS,
+        keyPrefix = keyPrefix,
+    )
+}
+
+private fun <T> shuffled(items: List<T>, random: SeededRandom): List<T> {
+    val result = items.toMutableList()
+    var draw = random
+    for (last in result.indices.reversed()) {
+        val other = draw.below(last + 1L).toInt()
+        draw = draw.advance()
+        result[last] = result[other].also { result[other] = result[last] }
+    }
+    return result
+}
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/api/MembershipTables.kt
@@ -0,0 +1,74 @@
+/**
+ * Membership as one control process knows it: routers, upstreams, the summaries of other domains, the configuration
+ * with its last deltas, and the platform's list of leaving VMs.
+ */
+package org.ibismoor.membership.api
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
+import org.ibismoor.configuration.api.ConfigurationDelta
+import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.core.api.DueQueue
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.UpstreamId
+
+/**
+ * [deltas] are keyed by their base. [highestReported] is the highest number that any router reported here; no lower
+ * configuration is served. Versions start at a number that differs between replicas and runs, so that a router which
+ * changes the control process takes none of its old versions for a present one.
+ */
+data class MembershipTables(
+    val replica: ReplicaId,
+    val firstVersion: Long,
+    val configuration: ConfigurationTables = ConfigurationTables(),
+    val deltas: PersistentMap<ConfigurationNumber, ConfigurationDelta> = persistentHashMapOf(),
+    val deltaBases: PersistentMap<Long, ConfigurationNumber> = persistentHashMapOf(),
+    val deltaCount: Long = 0,
+    val highestReported: ConfigurationNumber = ConfigurationNumber.NONE,
+    val inForce: ConfigurationNumber = ConfigurationNumber.NONE,
+    val routers: PersistentMap<RouterId, RouterEntry> = persistentHashMapOf(),
+    val routerListVersion: Long = firstVersion,
+    val upstreams: PersistentMap<UpstreamId, UpstreamEntry> = persistentHashMapOf(),
+    val reportVersion: Long = firstVersion,
+    val domains: PersistentMap<FailureDomainId, DomainEntry> = persistentHashMapOf(),
+    val leavingNames: PersistentSet<String> = persistentHashSetOf(),
+    val due: DueQueue<RouterId> = DueQueue.empty(),
+    val summaryDue: Timestamp,
+    val summarySequence: Long = 0,
+)
+
+/** A live router, the domain whose control process hears it, and the configuration number that it reported here. */
+data class RouterEntry(
+    val row: RouterRow,
+    val source: FailureDomainId,
+    val heardAt: Timestamp,
+    val configuration: ConfigurationNumber? = null,
+)
+
+/**
+ * An upstream with its last [report] as of [receivedAt]. It leaves while [isLeaving]; [leavingStartId] is the start
+ * identifier that leaves, or null if none was known when the platform listed it. [version] is the report version of
+ * the last change.
+ */
+data class UpstreamEntry(
+    val report: UpstreamReport? = null,
+    val receivedAt: Timestamp,
+    val isLeaving: Boolean = false,
+    val leavingStartId: String? = null,
+    val isOwn: Boolean = false,
+    val version: Long,
+)
+
+/** The last summary of another domain. */
+data class DomainEntry(
+    val replica: ReplicaId,
+    val sequence: Long,
+    val heardAt: Timestamp,
+    val lowestConfiguration: ConfigurationNumber?,
+)
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/internal/ConfigurationSystem.kt
@@ -0,0 +1,31 @@
+/**
+ * Keeps the configuration and its last deltas for routers.
+ */
+package org.ibismoor.membership.internal
+
+import org.ibismoor.configuration.api.forRouters
+import org.ibismoor.core.api.Step
+import org.ibismoor.core.api.Tick
+import org.ibismoor.membership.api.ConfigurationAdvanced
+import org.ibismoor.membership.api.MembershipMessage
+import org.ibismoor.membership.api.MembershipSettings
+import org.ibismoor.membership.api.MembershipTables
+
+internal class ConfigurationSystem(private val settings: MembershipSettings) : MembershipSystem {
+    override fun run(tables: MembershipTables, tick: Tick<MembershipMessage>): MembershipStep =
+        Step(tick.messages.filterIsInstance<ConfigurationAdvanced>().fold(tables, ::advance))
+
+    private fun advance(tables: MembershipTables, message: ConfigurationAdvanced): MembershipTables {
+        if (message.configuration.number <= tables.configuration.number) return tables
+        val delta = message.delta.forRouters()
+        val count = tables.deltaCount + 1
+        val oldest = count - settings.deltasKept
+        val dropped = tables.deltaBases[oldest]
+        return tables.copy(
+            configuration = message.configuration,
+            deltas = (if (dropped == null) tables.deltas else tables.deltas.remove(dropped)).put(delta.base, delta),
+            deltaBases = tables.deltaBases.remove(oldest).put(count, delta.base),
+            deltaCount = count,
+        )
+    }
+}
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/internal/InForceSystem.kt
@@ -0,0 +1,50 @@
+/**
+ * Notes when a configuration is in force: each live router of every declared domain has reported it. A domain that is
+ * not heard may have live routers with an older configuration, so nothing comes into force without it.
+ */
+package org.ibismoor.membership.internal
+
+import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.Step
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.membership.api.ConfigurationInForce
+import org.ibismoor.membership.api.HeartbeatReceived
+import org.ibismoor.membership.api.MembershipMessage
+import org.ibismoor.membership.api.MembershipSettings
+import org.ibismoor.membership.api.MembershipTables
+import org.ibismoor.membership.api.RouterEntry
+import org.ibismoor.membership.api.SummaryReceived
+
+internal class InForceSystem(private val settings: MembershipSettings) : MembershipSystem {
+    override fun run(tables: MembershipTables, tick: Tick<MembershipMessage>): MembershipStep {
+        val mayAdvance = tables.inForce < tables.configuration.number &&
+            tick.messages.any { it is HeartbeatReceived || it is SummaryReceived }
+        val number = if (mayAdvance) reportedByAll(tables, tick.now) else null
+        return if (number == null || number <= tables.inForce) {
+            Step(tables)
+        } else {
+            Step(tables.copy(inForce = number), listOf(ConfigurationInForce(number, tick.wallTime)))
+        }
+    }
+
+    /** The highest number that all live routers have reached, or null if a domain is not heard. */
+    private fun reportedByAll(tables: MembershipTables, now: Timestamp): ConfigurationNumber? {
+        val own = tables.ownRouters().mapNotNull { it.configuration }
+        val others = tables.configuration.controlMembers.keys.map { it.domain }.distinct() - tables.replica.domain
+        val isComplete = others.all { isHeard(tables, it, now) }
+        val remote = others.mapNotNull { tables.domains[it]?.lowestConfiguration }
+        val lowest = (own + remote).minOrNull()
+        return lowest?.takeIf { isComplete }?.coerceAtMost(tables.configuration.number)
+    }
+
+    private fun isHeard(tables: MembershipTables, domain: FailureDomainId, now: Timestamp): Boolean {
+        val heardAt = tables.domains[domain]?.heardAt
+        return heardAt != null && now - heardAt < settings.silenceMillis
+    }
+}
+
+/** The live routers that send their heartbeats here. */
+internal fun MembershipTables.ownRouters(): List<RouterEntry> =
+    routers.values.filter { it.source == replica.domain }
--- /dev/null
+++ b/membership/src/main/kotlin/org/ibismoor/membership/internal/MembershipMachine.kt
@@ -0,0 +1,40 @@
+/**
+ * The membership systems of a control process in their order. Answers to heartbeats come last but one, so that they
+ * carry what the same tick brought.
+ */
+package org.ibismoor.membership.internal
+
+import org.ibismoor.core.api.Step
+import org.ibismoor.core.api.SystemSchedule
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.TickMachine
+import org.ibismoor.core.api.TickSystem
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.membership.api.MembershipEffect
+import org.ibismoor.membership.api.MembershipMessage
+import org.ibismoor.membership.api.MembershipSettings
+import org.ibismoor.membership.api.MembershipTables
+
+internal typealias MembershipStep = Step<MembershipTables, MembershipEffect>
+
+internal typealias MembershipSystem = TickSystem<MembershipTables, MembershipMessage, MembershipEffect>
+
+internal class MembershipMachine(settings: MembershipSettings) :
+    TickMachine<MembershipTables, MembershipMessage, MembershipEffect> {
+    private val schedule = SystemSchedule(
+        listOf(
+            ConfigurationSystem(settings),
+            RouterSystem(settings),
+            UpstreamSystem(),
+            HeartbeatAnswerSystem(),
+            SummarySystem(settings),
+            InForceSystem(settings),
+        ),
+    )
+
+    override fun run(tables: MembershipTables, tick: Tick<MembershipMessage>): MembershipStep =
+        schedule.run(tables, tick)
+
+    override fun nextDue(tables: MembershipTables): Timestamp =
+        listOfNotNull(tables.due.next, tables.summaryDue).min()
+}
--- /dev/null
+++ b/membership/src/test/kotlin/org/ibismoor/membership/MembershipTest.kt
@@ -0,0 +1,236 @@
+package org.ibismoor.membership
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentHashMapOf
+import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.configuration.api.ControlMember
+import org.ibismoor.configuration.api.Organisation
+import org.ibismoor.configuration.api.Upstream
+import org.ibismoor.configuration.api.deltaBetween
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.RouterId
+import org.ibismoor.core.api.SeededRandom
+import org.ibismoor.core.api.SessionId
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.UpstreamGroupId
+import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.core.api.WallTime
+import org.ibismoor.membership.api.AnswerHeartbeat
+import org.ibismoor.membership.api.ConfigurationAdvanced
+import org.ibismoor.membership.api.ConfigurationInForce
+import org.ibismoor.membership.api.DomainSummary
+import org.ibismoor.membership.api.Heartbeat
+import org.ibismoor.membership.api.HeartbeatAnswer
+import org.ibismoor.membership.api.HeartbeatReceived
+import org.ibismoor.membership.api.MembershipEffect
+import org.ibismoor.membership.api.MembershipMessage
+import org.ibismoor.membership.api.MembershipSettings
+import org.ibismoor.membership.api.PlatformListed
+import org.ibismoor.membership.api.RouterRow
+import org.ibismoor.membership.api.RouterState
+import org.ibismoor.membership.api.RouterView
+import org.ibismoor.membership.api.SendSummary
+import org.ibismoor.membership.api.SummaryReceived
+import org.ibismoor.membership.api.UpstreamPolled
+import org.ibismoor.membership.api.UpstreamReport
+import org.ibismoor.membership.api.addressList
+import org.ibismoor.membership.api.createMembership
+import org.ibismoor.membership.api.initialMembershipTables
+import org.ibismoor.membership.api.with
+
+private val norte1 = FailureDomainId("norte-1")
+private val norte2 = FailureDomainId("norte-2")
+private val engine = UpstreamId("engine-1")
+
+private fun router(name: String, domain: FailureDomainId = norte1, state: RouterState = RouterState.SERVING) =
+    RouterRow(RouterId(name), SessionId("s-$name"), domain, "http://127.0.0.1/$name", state, 0)
+
+private fun report(startId: String, isLeaving: Boolean = false) = UpstreamReport(engine, 1, 0, isLeaving, startId, 100)
+
+/** A control process on a clock that the test sets. */
+private class Control(domain: FailureDomainId = norte1) {
+    private val settings = MembershipSettings()
+    private val machine = createMembership(settings)
+    private var tables = initialMembershipTables(ReplicaId(domain, 1), settings, Timestamp(0))
+    var now = 0L
+    var configuration = ConfigurationTables()
+
+    fun tell(vararg messages: MembershipMessage): List<MembershipEffect> {
+        val step = machine.run(tables, Tick(Timestamp(now), WallTime(120_000), messages.asList()))
+        tables = step.tables
+        return step.effects
+    }
+
+    fun publish(number: Long, change: (ConfigurationTables) -> ConfigurationTables): List<MembershipEffect> {
+        val next = change(configuration).copy(number = ConfigurationNumber(number))
+        val delta = deltaBetween(configuration, next)
+        configuration = next
+        return tell(ConfigurationAdvanced(next, delta))
+    }
+
+    fun heartbeat(row: RouterRow, view: RouterView = RouterView(), number: Long = view.configuration.number.value) =
+        tell(
+            HeartbeatReceived(
+                7,
+                Heartbeat(row, ConfigurationNumber(number), view.routerListVersion, view.reportVersion),
+            ),
+        )
+
+    fun answer(row: RouterRow, view: RouterView = RouterView()): HeartbeatAnswer =
+        heartbeat(row, view).filterIsInstance<AnswerHeartbeat>().single().answer
+}
+
+private fun withOrganisation(name: String): (ConfigurationTables) -> ConfigurationTables = { tables ->
+    val id = OrganisationId(name)
+    tables.copy(organisations = tables.organisations.put(id, Organisation(id)))
+}
+
+private fun withoutOrganisation(name: String): (ConfigurationTables) -> ConfigurationTables = { tables ->
+    tables.copy(organisations = tables.organisations.remove(OrganisationId(name)))
+}
+
+private fun declared(domains: List<FailureDomainId>): (ConfigurationTables) -> ConfigurationTables = { tables ->
+    val members = domains.map { ReplicaId(it, 1) }.associateWith { ControlMember(it, "http://127.0.0.1") }
+    val upstream = Upstream(engine, UpstreamGroupId("g"), norte1, "http://127.0.0.1:9")
+    tables.copy(
+        controlMembers = persistentHashMapOf<ReplicaId, ControlMember>().putAll(members),
+        upstreams = persistentHashMapOf(engine to upstream),
+    )
+}
+
+class MembershipTest : StringSpec({
+    "a router that is some changes behind gets them as one delta, so removed rows do not come back" {
+        val control = Control()
+        control.publish(1, withOrganisation("a"))
+        val view = RouterView().with(control.answer(router("r")))
+        control.publish(2, withOrganisation("b"))
+        control.publish(3, withoutOrganisation("a"))
+        control.publish(5, withOrganisation("c"))
+        val answer = control.answer(router("r"), view)
+        answer.configuration?.base shouldBe ConfigurationNumber(1)
+        val next = view.with(answer)
+        next.configuration shouldBe control.configuration
+        control.answer(router("r"), next).configuration shouldBe null
+    }
+
+    "a router that is behind all kept deltas gets the whole set and drops rows that were removed meanwhile" {
+        val control = Control()
+        control.publish(1, withOrganisation("old"))
+        val view = RouterView().with(control.answer(router("r")))
+        control.publish(2, withoutOrganisation("old"))
+        for (number in 3L..300L) control.publish(number, withOrganisation("o$number"))
+        val answer = control.answer(router("r"), view)
+        answer.configuration?.base shouldBe ConfigurationNumber.NONE
+        view.with(answer).configuration shouldBe control.configuration
+    }
+
+    "a control process that is behind its routers serves them nothing, so no router goes back" {
+        val control = Control()
+        control.publish(1, withOrganisation("a"))
+        control.heartbeat(router("ahead"), number = 2)
+        control.answer(router("new")).configuration shouldBe null
+        control.publish(2, withOrganisation("b"))
+        control.answer(router("new")).configuration?.number shouldBe ConfigurationNumber(2)
+    }
+
+    "a late delta of a lower number does not take a router back" {
+        val control = Control()
+        control.publish(1, withOrganisation("a"))
+        val late = control.answer(router("r"))
+        control.publish(2, withOrganisation("b"))
+        val view = RouterView().with(control.answer(router("r")))
+        view.with(late).configuration shouldBe control.configuration
+    }
+
+    "a configuration is in force only when each live router of every domain has reported it" {
+        val control = Control()
+        control.publish(4, declared(listOf(norte1, norte2)))
+        control.heartbeat(router("r1"), number = 4).filterIsInstance<ConfigurationInForce>().shouldBeEmpty()
+        val lagging = DomainSummary(ReplicaId(norte2, 1), 1, emptyList(), emptyList(), ConfigurationNumber(3))
+        control.tell(SummaryReceived(lagging)).filterIsInstance<ConfigurationInForce>()
+            .map { it.number.value } shouldBe listOf(3L)
+        val current = lagging.copy(sequence = 2, lowestConfiguration = ConfigurationNumber(4))
+        control.tell(SummaryReceived(current)) shouldContain
+            ConfigurationInForce(ConfigurationNumber(4), WallTime(120_000))
+    }
+
+    "an upstream that leaves by its own signal or by the platform's list leaves until it has a new start identifier" {
+        val control = Control()
+        control.publish(1, declared(listOf(norte1)))
+        control.tell(UpstreamPolled(report("one")), PlatformListed(setOf("http://127.0.0.1:9")))
+        control.answer(router("r")).reports?.single()?.isLeaving shouldBe true
+        control.tell(UpstreamPolled(report("one")), PlatformListed(emptySet()))
+        control.answer(router("r")).reports?.single()?.isLeaving shouldBe true
+        control.tell(UpstreamPolled(report("two")))
+        control.answer(router("r")).reports?.single()?.isLeaving shouldBe false
+    }
+
+    "a platform list that still names a returned upstream does not take it out again" {
+        val control = Control()
+        control.publish(1, declared(listOf(norte1)))
+        control.tell(UpstreamPolled(report("one", isLeaving = true)), PlatformListed(setOf(engine.text)))
+        control.tell(UpstreamPolled(report("two")))
+        control.tell(PlatformListed(setOf(engine.text)))
+        control.answer(router("r")).reports?.single()?.isLeaving shouldBe false
+    }
+
+    "a summary that was overtaken by a later one does not bring back an earlier run of an upstream" {
+        val control = Control()
+        val first = DomainSummary(ReplicaId(norte2, 1), 1, emptyList(), listOf(report("one", isLeaving = true)))
+        control.tell(SummaryReceived(first.copy(sequence = 2, reports = listOf(report("two")))))
+        control.tell(SummaryReceived(first))
+        control.answer(router("r")).reports?.single()?.startId shouldBe "two"
+    }
+
+    "the age of a passed-on report includes the time it was held, so routers do not take it for a fresh one" {
+        val control = Control()
+        control.tell(UpstreamPolled(report("one")))
+        control.now = 400
+        control.answer(router("r")).reports?.single()?.ageMillis shouldBe 500
+    }
+
+    "a router that was not heard for 3 s is no longer listed, and the list is sent only when it changed" {
+        val control = Control()
+        control.answer(router("dead"))
+        val view = RouterView().with(control.answer(router("r")))
+        view.routers.map { it.id.text } shouldBe listOf("dead", "r")
+        control.now = 1_500
+        control.answer(router("r").copy(inFlight = 3), view).routers shouldBe null
+        control.now = 3_000
+        control.answer(router("r"), view).routers?.map { it.id.text } shouldBe listOf("r")
+    }
+
+    "the summary of each second names only routers that are heard here" {
+        val control = Control()
+        control.heartbeat(router("r1"))
+        val other = DomainSummary(ReplicaId(norte2, 1), 1, listOf(router("r2", norte2)), emptyList())
+        control.tell(SummaryReceived(other))
+        control.now = 1_000
+        val summary = control.tell().filterIsInstance<SendSummary>().single().summary
+        summary.routers.map { it.id.text } shouldBe listOf("r1")
+        control.answer(router("r1")).routers?.map { it.id.text } shouldBe listOf("r1", "r2")
+    }
+
+    "addresses name no draining router and put the caller's domain first" {
+        val routers = listOf(
+            router("a", norte2),
+            router("b"),
+            router("c", norte2),
+            router("d", state = RouterState.DRAINING),
+        )
+        for (seed in 1L..20L) {
+            val list = addressList(routers, norte1, "norte-1.1.2~", SeededRandom(seed))
+            list.addresses.map { it.domain } shouldBe listOf(norte1, norte2, norte2)
+            list.addresses.size shouldBe 3
+        }
+        val first = (1L..20L).map { addressList(routers, norte2, "p", SeededRandom(it)).addresses.first() }
+        first.distinct().size shouldBe 2
+    }
+})
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/AttemptFailure.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/AttemptFailure.kt
@@ -3,22 +3,23 @@
  */
 package org.ibismoor.routing.api
 
-enum class AttemptFailure {
+/** [mayHaveRun] is false if the upstream certainly did not start the request. */
+enum class AttemptFailure(val mayHaveRun: Boolean) {
     /** No byte of the request was written, so the upstream did not run it. */
-    NOT_SENT,
+    NOT_SENT(false),
 
     /** The upstream answered that it refuses work, before running it. */
-    REFUSED,
+    REFUSED(false),
 
     /** The request was sent and no byte of an answer was passed on. */
-    NO_ANSWER,
+    NO_ANSWER(true),
 
     /** The answer broke after bytes were passed on to the caller. */
-    BROKEN_ANSWER,
+    BROKEN_ANSWER(true),
 
     /** The answer belongs to another request. */
-    CROSSED_ANSWER,
+    CROSSED_ANSWER(true),
 
     /** The time limit passed. */
-    TIMEOUT,
+    TIMEOUT(true),
 }
--- /dev/null
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/ReservationSystem.kt
@@ -0,0 +1,36 @@
+/**
+ * Asks the right domain ledger for the reservations of requests that left the queue: the home domain for the claim of
+ * a homed key, otherwise the first domain in order of preference that answers.
+ */
+package org.ibismoor.routing.internal
+
+import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.routing.api.RoutingMessage
+import org.ibismoor.routing.api.RoutingSettings
+import org.ibismoor.routing.api.RoutingTables
+import org.ibismoor.routing.api.StreamRow
+
+internal class ReservationSystem(private val settings: RoutingSettings) : RoutingSystem {
+    private val leases = Leases(settings)
+
+    override fun run(tables: RoutingTables, tick: Tick<RoutingMessage>): RoutingStep =
+        tables.copy(toReserve = persistentListOf()).forEach(tables.toReserve) { t, id ->
+            t.streams[id]?.let { reserve(t, it, tick.now) } ?: t.step()
+        }
+
+    private fun reserve(tables: RoutingTables, row: StreamRow, now: Timestamp): RoutingStep {
+        val authority = row.home() ?: tables.preferredAuthority(settings)
+        return if (isKnown(tables, authority)) {
+            leases.reserve(tables, row, authority, now)
+        } else {
+            tables.fail(settings, row, Failure(RefusalReason.HOME_UNAVAILABLE), now)
+        }
+    }
+
+    private fun isKnown(tables: RoutingTables, domain: FailureDomainId): Boolean =
+        domain in settings.domains || tables.configuration.controlMembers.keys.any { it.domain == domain }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/org/ibismoor/routing/RequestLifeTest.kt
@@ -0,0 +1,94 @@
+package org.ibismoor.routing
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.ibismoor.core.api.Outcome
+import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.ledger.api.Cancel
+import org.ibismoor.ledger.api.Cancelled
+import org.ibismoor.ledger.api.Refused
+import org.ibismoor.ledger.api.Reserve
+import org.ibismoor.ledger.api.Settle
+import org.ibismoor.routing.api.AnswerCompleted
+import org.ibismoor.routing.api.AskLedger
+import org.ibismoor.routing.api.AttemptFailed
+import org.ibismoor.routing.api.AttemptFailure
+import org.ibismoor.routing.api.Dispatch
+import org.ibismoor.routing.api.LedgerAnswered
+import org.ibismoor.routing.api.Refuse
+import org.ibismoor.routing.api.Release
+import org.ibismoor.routing.api.RequestArrived
+import org.ibismoor.routing.api.RoutingEffect
+import org.ibismoor.routing.api.StreamId
+
+internal fun List<RoutingEffect>.refusal(): Refuse = filterIsInstance<Refuse>().single()
+
+internal fun List<RoutingEffect>.asks(): List<AskLedger> = filterIsInstance<AskLedger>()
+
+class RequestLifeTest : StringSpec({
+    "an answer is released only after its charge is durable, and nothing of the stream stays" {
+        val router = RouterDouble()
+        val ask = router.arrive(1)
+        ask.authority.domain shouldBe norte1
+        (ask.request as Reserve).amount shouldBe 100
+        val dispatch = router.reserve(ask)
+        val completed = router.tell(AnswerCompleted(dispatch.stream, dispatch.upstream.id, 50, 200))
+        completed.filterIsInstance<Release>().shouldBeEmpty()
+        val settle = completed.asks().single()
+        (settle.request as Settle).amount shouldBe 50
+        router.settle(settle) shouldContain Release(StreamId(1))
+        router.isEmpty() shouldBe true
+    }
+
+    "a request without a known API key is refused before anything is reserved" {
+        val effects = RouterDouble().tell(RequestArrived(StreamId(1), request(organisation = "nobody")))
+        effects.refusal().reason shouldBe RefusalReason.UNAUTHENTICATED
+        effects.asks().shouldBeEmpty()
+    }
+
+    "a ledger's refusal reaches the caller with its reason and outcome" {
+        val router = RouterDouble()
+        val ask = router.arrive(1, request(booking, key = "norte-1.1.5~x"))
+        val answer = Refused(ask.request.attempt, RefusalReason.ALREADY_RAN, Outcome.RAN, 201)
+        val refusal = router.tell(LedgerAnswered(answer)).refusal()
+        refusal.reason shouldBe RefusalReason.ALREADY_RAN
+        refusal.outcome shouldBe Outcome.RAN
+        refusal.recordedStatus shouldBe 201
+        router.isEmpty() shouldBe true
+    }
+
+    "work that was not sent goes to another upstream under the same reservation" {
+        val router = RouterDouble()
+        val first = router.dispatch(1, request(booking))
+        router.tell(AttemptFailed(first.stream, first.upstream.id, AttemptFailure.NOT_SENT))
+        val second = router.advance(100).filterIsInstance<Dispatch>().single()
+        second.upstream.id shouldNotBe first.upstream.id
+        router.settle(router.complete(second, 5)) shouldContain Release(StreamId(1))
+        router.isEmpty() shouldBe true
+    }
+
+    "non-idempotent work that may have started is never dispatched again, and its claim is charged as unknown" {
+        val router = RouterDouble()
+        val first = router.dispatch(1, request(booking))
+        val effects = router.tell(AttemptFailed(first.stream, first.upstream.id, AttemptFailure.NO_ANSWER))
+        effects.refusal().outcome shouldBe Outcome.MAY_HAVE_RUN
+        (effects.asks().single().request as Settle).outcome shouldBe Outcome.MAY_HAVE_RUN
+        router.advance(2_000).filterIsInstance<Dispatch>().shouldBeEmpty()
+        router.settle(effects.asks().single())
+        router.isEmpty() shouldBe true
+    }
+
+    "a failed request frees its reservation, and the freeing is repeated until the ledger answers" {
+        val router = RouterDouble()
+        val first = router.dispatch(1)
+        val effects = router.tell(AttemptFailed(first.stream, first.upstream.id, AttemptFailure.BROKEN_ANSWER))
+        effects.refusal().reason shouldBe RefusalReason.INCOMPLETE_ANSWER
+        val cancel = effects.asks().single().request as Cancel
+        router.advance(1_000).asks().map { it.request } shouldBe listOf(cancel)
+        router.tell(LedgerAnswered(Cancelled(cancel.attempt)))
+        router.isEmpty() shouldBe true
+    }
+})
