--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/MemberSystem.kt
@@ -5,6 +5,7 @@
 package org.ibismoor.fleet.internal
 
 import kotlinx.collections.immutable.plus
+import org.ibismoor.consensus.api.status
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.TickSystem
@@ -26,7 +27,7 @@
 
     /** Writing off the same replica twice changes nothing, so a new leader may repeat it. */
     private fun replacements(tables: ControlTables, declared: Set<ReplicaId>): List<ControlMessage> {
-        val known = tables.fleet.mergedSequences.keys + tables.consensus.members.map { it.replica }
+        val known = tables.fleet.mergedSequences.keys + tables.consensus.status().members.map { it.replica }
         return declared.flatMap { new ->
             known.filter { it.domain == new.domain && it.epoch < new.epoch }
                 .map { CommandSubmitted(PendingCommand(AllocatorOrigin, ReplaceReplica(it, new))) }
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ReachabilitySystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ReachabilitySystem.kt
@@ -1,6 +1,6 @@
 /**
- * Tells the share allocator which replicas the leader hears, so that it neither issues tokens to a replica that is cut off
- * nor asks it to return any.
+ * Tells the share allocator which replicas the leader hears, so that it neither issues tokens to a replica that is
+ * cut off nor asks it to return any.
  */
 package org.ibismoor.fleet.internal
 
