--- /dev/null
+++ b/runtime/src/main/kotlin/org/ibismoor/runtime/api/ListenAddress.kt
@@ -0,0 +1,6 @@
+/**
+ * An IP number and a port on which a server listens.
+ */
+package org.ibismoor.runtime.api
+
+data class ListenAddress(val host: String, val port: Int)
