--- /dev/null
+++ b/control/src/main/kotlin/org/ibismoor/control/api/ControlProcessSettings.kt
@@ -0,0 +1,21 @@
+/**
+ * Settings of a control process. [publicUrl] is where other processes reach it. [peers] are the base URLs of the
+ * other replicas at the start; declared control members are added to them and go before them. Equal seeds give equal
+ * random decisions.
+ */
+package org.ibismoor.control.api
+
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.fleet.api.ControlSettings
+import java.nio.file.Path
+
+data class ControlProcessSettings(
+    val replica: ReplicaId,
+    val dataFolder: Path,
+    val host: String,
+    val port: Int,
+    val peers: Map<ReplicaId, String>,
+    val seed: Long,
+    val platformUrl: String? = null,
+    val control: ControlSettings = ControlSettings(),
+)
--- /dev/null
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/LedgerRoutes.kt
@@ -0,0 +1,67 @@
+/**
+ * Endpoints for routers: ledger batches and heartbeats. Each call waits for the control thread, which answers after
+ * the records are synced.
+ */
+package org.ibismoor.control.internal
+
+import kotlinx.serialization.builtins.ListSerializer
+import org.http4k.core.Method
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.RoutingHttpHandler
+import org.http4k.routing.bind
+import org.ibismoor.core.api.Outcome
+import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.fleet.api.AnswerLedger
+import org.ibismoor.fleet.api.AnswerRouter
+import org.ibismoor.fleet.api.LedgerReceived
+import org.ibismoor.fleet.api.RouterBeat
+import org.ibismoor.ledger.api.LedgerAnswer
+import org.ibismoor.membership.api.Heartbeat
+import org.ibismoor.membership.api.HeartbeatAnswer
+import org.ibismoor.transport.api.InternalPaths
+import org.ibismoor.transport.api.LedgerBatch
+import org.ibismoor.transport.api.jsonResponse
+import org.ibismoor.transport.api.refusalResponse
+import org.ibismoor.transport.api.withJsonBody
+
+/** Longer than a reservation waits for a share, and shorter than a router waits for an answer. */
+private const val ANSWER_MILLIS = 1_800L
+private const val MAXIMUM_REQUESTS = 1_000
+
+internal class LedgerRoutes(
+    private val port: ControlPort,
+    private val replies: ReplyBoard,
+    private val meters: ControlMeters,
+) {
+    val all: List<RoutingHttpHandler> = listOf(
+        InternalPaths.LEDGER bind Method.POST to { it.withJsonBody(LedgerBatch.serializer(), ::ledger) },
+        InternalPaths.HEARTBEAT bind Method.POST to { it.withJsonBody(Heartbeat.serializer(), ::heartbeat) },
+    )
+
+    private fun ledger(batch: LedgerBatch): Response =
+        if (batch.requests.size > MAXIMUM_REQUESTS) {
+            val message = "a batch has at most $MAXIMUM_REQUESTS requests"
+            refusalResponse(RefusalReason.REQUEST_TOO_LARGE, Outcome.NOT_RUN, message)
+        } else {
+            val effect = replies.exchange(
+                ANSWER_MILLIS
+            ) { port.post(LedgerReceived(it, batch.session, batch.requests)) }
+            (effect as? AnswerLedger)?.let { answered(it.answers) } ?: late()
+        }
+
+    private fun answered(answers: List<LedgerAnswer>): Response {
+        meters.answered(answers)
+        return jsonResponse(Status.OK, ListSerializer(LedgerAnswer.serializer()), answers)
+    }
+
+    private fun heartbeat(heartbeat: Heartbeat): Response {
+        val effect = replies.exchange(ANSWER_MILLIS) { port.post(RouterBeat(it, heartbeat)) }
+        return (effect as? AnswerRouter)?.let { jsonResponse(Status.OK, HeartbeatAnswer.serializer(), it.answer) }
+            ?: late()
+    }
+
+    /** The records may be written all the same, so a router repeats the same attempt. */
+    private fun late(): Response =
+        refusalResponse(RefusalReason.LEDGER_UNAVAILABLE, Outcome.MAY_HAVE_RUN, "no answer in time")
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/PeerBatch.kt
@@ -0,0 +1,21 @@
+/**
+ * Body of `POST /internal/v1/consensus`: messages of one replica to another, in order. They may be lost.
+ */
+package org.ibismoor.control.internal
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.consensus.api.ConsensusMessage
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.fleet.api.PeerMessage
+
+@Serializable
+internal data class PeerBatch(
+    val from: ReplicaId,
+    val to: ReplicaId,
+    val consensus: List<ConsensusMessage> = emptyList(),
+    val shares: List<PeerMessage> = emptyList(),
+)
+
+/** Answer to a message that needs none. */
+@Serializable
+internal data class Received(val isReceived: Boolean = true)
--- /dev/null
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/UpstreamPolls.kt
@@ -0,0 +1,71 @@
+/**
+ * Asks the upstreams of this failure domain for their load, and the platform for its list of leaving VMs, once a
+ * second. The answers are messages of the control thread.
+ */
+package org.ibismoor.control.internal
+
+import kotlinx.serialization.Serializable
+import org.ibismoor.configuration.api.Upstream
+import org.ibismoor.fleet.api.PlatformAnswered
+import org.ibismoor.fleet.api.UpstreamAnswered
+import org.ibismoor.fleet.api.UpstreamSilent
+import org.ibismoor.membership.api.UpstreamReport
+import org.ibismoor.transport.api.CallResult
+import org.ibismoor.transport.api.InternalClient
+import org.ibismoor.transport.api.LoadReport
+import org.ibismoor.transport.api.getJson
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+private const val POLL_MILLIS = 1_000L
+
+internal class UpstreamPolls(
+    private val client: InternalClient,
+    private val port: ControlPort,
+    private val platformUrl: String?,
+    private val meters: ControlMeters,
+) : AutoCloseable {
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "polls").apply { isDaemon = true } }
+
+    fun start() {
+        timer.scheduleAtFixedRate(::pollAll, 0, POLL_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+    }
+
+    private fun pollAll() {
+        val tables = port.tables
+        tables.fleet.configuration.upstreams.values.filter { it.domain == tables.replica.domain }.forEach(::poll)
+        platformUrl?.let(::pollPlatform)
+    }
+
+    private fun poll(upstream: Upstream) {
+        client.getJson<LoadReport>("${upstream.baseUrl}/load").thenAccept { result ->
+            if (result is CallResult.Answered) {
+                port.post(UpstreamAnswered(reportOf(upstream, result.answer)))
+            } else {
+                meters.pollFailed("upstream")
+                port.post(UpstreamSilent(upstream.id))
+            }
+        }
+    }
+
+    private fun reportOf(upstream: Upstream, load: LoadReport): UpstreamReport =
+        UpstreamReport(upstream.id, load.running, load.waiting, load.isLeaving, load.startId, ageMillis = 0)
+
+    private fun pollPlatform(url: String) {
+        client.getJson<PlatformList>(url).thenAccept { result ->
+            if (result is CallResult.Answered) {
+                port.post(PlatformAnswered(result.answer.leaving.toSet()))
+            } else {
+                meters.pollFailed("platform")
+            }
+        }
+    }
+}
+
+/** The platform's answer: names or base URLs of the VMs that are leaving. */
+@Serializable
+internal data class PlatformList(val leaving: List<String>)
--- /dev/null
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
@@ -0,0 +1,60 @@
+/**
+ * Views of the control tables for operators.
+ */
+package org.ibismoor.control.internal
+
+import org.ibismoor.consensus.api.status
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.fleet.api.ControlTables
+import org.ibismoor.ledger.api.BudgetRow
+import org.ibismoor.transport.api.BudgetView
+import org.ibismoor.transport.api.ChargeView
+import org.ibismoor.transport.api.ControlStatus
+import org.ibismoor.transport.api.ControlUrl
+import org.ibismoor.transport.api.LedgerView
+import org.ibismoor.transport.api.ShareView
+
+internal fun statusOf(tables: ControlTables, addresses: PeerAddresses): ControlStatus {
+    val consensus = tables.consensus.status()
+    return ControlStatus(
+        replica = tables.replica,
+        role = consensus.role.name.lowercase(),
+        leader = consensus.leader,
+        hasQuorum = consensus.hasQuorum,
+        term = consensus.term,
+        commitIndex = consensus.commitIndex,
+        snapshotIndex = consensus.snapshotIndex,
+        members = consensus.members,
+        controlUrls = addresses.others(tables).map { ControlUrl(it.key, it.value) }.sortedBy { it.replica },
+        configuration = tables.fleet.configuration.number.value,
+        inForce = tables.inForce?.number?.value,
+        inForceAtMillis = tables.inForce?.at?.epochMillis,
+        routers = emptyList(),
+        upstreams = emptyList(),
+    )
+}
+
+internal fun ledgerViewOf(tables: ControlTables, organisation: String?): LedgerView {
+    val owners = tables.fleet.configuration.budgets.mapValues { it.value.organisation }
+    val budgets = tables.fleet.budgets.entries.map { (id, row) -> budgetView(id, row, owners[id]) }
+    val charges = tables.fleet.charges.values.map { ChargeView(it, isMerged = true) }
+    return LedgerView(
+        replica = tables.replica,
+        budgets = budgets.filter { organisation == null || it.organisation?.text == organisation }
+            .sortedBy { it.budget },
+        charges = charges.filter { organisation == null || it.charge.key.organisation.text == organisation }
+            .sortedBy { it.charge.chargedAt },
+    )
+}
+
+private fun budgetView(id: BudgetId, row: BudgetRow, owner: OrganisationId?): BudgetView =
+    BudgetView(
+        budget = id,
+        organisation = owner,
+        granted = row.granted,
+        spent = row.shares.values.sumOf { it.spent },
+        voided = row.shares.values.sumOf { it.voided },
+        writtenOff = row.writtenOff,
+        shares = row.shares.entries.map { ShareView(it.key, it.value) }.sortedBy { it.replica },
+    )
--- /dev/null
+++ b/declarations/src/main/kotlin/org/ibismoor/declarations/api/Publication.kt
@@ -0,0 +1,9 @@
+/**
+ * Body of `POST /internal/v1/publications`: the whole set of declaration files under a number.
+ */
+package org.ibismoor.declarations.api
+
+import kotlinx.serialization.Serializable
+
+@Serializable
+data class Publication(val number: Long, val sources: List<DeclarationSource>)
--- /dev/null
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/TryCommand.kt
@@ -0,0 +1,115 @@
+/**
+ * Command line of `ibismoor-try`: asks for an address, sends one streamed chat completion and one service call, and
+ * prints both answers as they arrive. It shows that a fleet works from end to end.
+ */
+package org.ibismoor.operator.internal
+
+import org.ibismoor.membership.api.AddressList
+import org.ibismoor.runtime.api.ExitCode
+import org.ibismoor.runtime.api.PROGRAM_VERSION
+import org.ibismoor.runtime.api.SettingTypes
+import org.ibismoor.runtime.api.reportFindings
+import org.ibismoor.runtime.api.requiredSetting
+import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.transport.api.Decoded
+import org.ibismoor.transport.api.decodeJson
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import java.util.UUID
+import java.util.concurrent.Callable
+
+private const val TIMEOUT_SECONDS = 20L
+private const val STATUS_OK = 200
+private const val END_OF_STREAM = "data: [DONE]"
+
+@Command(
+    name = "ibismoor-try",
+    description = ["Sends one streamed chat completion and one service call through a router."],
+    mixinStandardHelpOptions = true,
+    version = [PROGRAM_VERSION],
+)
+internal class TryCommand : Callable<Int> {
+    @Option(names = ["--router"], description = ["Base URL of any router."])
+    private var router: String? = null
+
+    @Option(names = ["--domain"], description = ["Failure domain of the caller."])
+    private var domain: String? = null
+
+    @Option(names = ["--key"], description = ["API key; better given as IBISMOOR_KEY."])
+    private var key: String? = null
+
+    @Option(names = ["--model"], description = ["Model to ask."])
+    private var model: String? = null
+
+    @Option(names = ["--service-path"], description = ["Path of a service call, such as /services/desk/bookings."])
+    private var servicePath: String? = null
+
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
+    override fun call(): Int {
+        val first = requiredSetting("--router", router, SettingTypes.baseUrl)
+        val own = requiredSetting("--domain", domain, SettingTypes.failureDomain)
+        val secret = requiredSetting("--key", key, SettingTypes.text)
+        val name = requiredSetting("--model", model, SettingTypes.text)
+        val path = requiredSetting("--service-path", servicePath, SettingTypes.text)
+        val findings = settingFindings(first, own, secret, name, path)
+        return if (findings.isEmpty()) tryFleet(first.value, own.value.text) else reportFindings(findings)
+    }
+
+    private fun tryFleet(first: String, own: String): Int =
+        try {
+            val list = addresses(first, own)
+            val address = list?.addresses?.firstOrNull()?.url
+            if (list == null || address == null) refused("no address") else sendBoth(address, list.keyPrefix)
+        } catch (e: IOException) {
+            System.err.println("no answer: ${e.message}")
+            ExitCode.UNAVAILABLE
+        }
+
+    private fun addresses(first: String, own: String): AddressList? {
+        val response = client.send(
+            HttpRequest.newBuilder(URI("$first/v1/addresses?domain=$own")).timeout(timeout()).build(),
+            HttpResponse.BodyHandlers.ofString(),
+        )
+        println("addresses: ${response.body()}")
+        return (decodeJson(AddressList.serializer(), response.body()) as? Decoded.Value)?.value
+    }
+
+    private fun sendBoth(address: String, prefix: String): Int {
+        val chat = """{"model":"$model","stream":true,"max_tokens":32,""" +
+            """"messages":[{"role":"user","content":"Summarise the custody handover."}]}"""
+        val chatLines = post("$address/v1/chat/completions", chat, UUID.randomUUID().toString())
+        val isChatWhole = chatLines?.lastOrNull { it.isNotBlank() } == END_OF_STREAM
+        val bookingLines = post(address + servicePath, """{"seats":2}""", prefix + UUID.randomUUID())
+        return if (isChatWhole && bookingLines != null) ExitCode.SUCCESS else refused("an answer is not whole")
+    }
+
+    /** The lines of the answer, printed as they arrive; null if it is an error. */
+    private fun post(url: String, body: String, requestKey: String): List<String>? {
+        println("POST $url")
+        val request = HttpRequest.newBuilder(URI(url))
+            .header("Authorization", "Bearer $key")
+            .header("Content-Type", "application/json")
+            .header("Idempotency-Key", requestKey)
+            .timeout(timeout())
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build()
+        val response = client.send(request, HttpResponse.BodyHandlers.ofLines())
+        val lines = response.body().use { stream -> stream.peek { println("  $it") }.toList() }
+        println("  status ${response.statusCode()}")
+        return lines.takeIf { response.statusCode() == STATUS_OK }
+    }
+
+    private fun timeout(): Duration = Duration.ofSeconds(TIMEOUT_SECONDS)
+
+    private fun refused(problem: String): Int {
+        System.err.println(problem)
+        return ExitCode.FINDINGS
+    }
+}
