--- a/operator/src/main/kotlin/org/ibismoor/operator/api/PublishMain.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/api/PublishMain.kt
@@ -1,6 +1,7 @@
 /**
- * Program `ibismoor-publish`. Exit codes: 0 when the set is accepted, 2 for wrong settings, 3 for findings or a conflict, 4
- * when the fleet does not answer in time.
+ * Program `ibismoor-publish`. Exit codes:
+ * 0 when the set is accepted, 2 for wrong settings, 3 for findings or a conflict,
+ * 4 when the fleet does not answer in time.
  */
 package org.ibismoor.operator.api
 
--- a/operator/src/main/kotlin/org/ibismoor/operator/api/TryMain.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/api/TryMain.kt
@@ -1,6 +1,6 @@
 /**
- * Program `ibismoor-try`. Exit codes: 0 when both answers are whole, 2 for wrong settings, 3 when a request is refused, 4
- * when the router does not answer.
+ * Program `ibismoor-try`. Exit codes:
+ * 0 when both answers are whole, 2 for wrong settings, 3 when a request is refused, 4 when the router does not answer.
  */
 package org.ibismoor.operator.api
 
--- a/operator/src/main/kotlin/org/ibismoor/operator/internal/HttpControlPort.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/HttpControlPort.kt
@@ -33,11 +33,13 @@
         }
     }
 
-    override fun status(url: String): ControlStatus? = answered(client.getJson(url + InternalPaths.STATUS).get())
+    override fun status(url: String): ControlStatus? = answered(
+        client.getJson<ControlStatus>(url + InternalPaths.STATUS).get()
+    )
 
     override fun ledger(url: String, organisation: String?): LedgerView? {
         val query = organisation?.let { "?organisation=" + URLEncoder.encode(it, Charsets.UTF_8) }.orEmpty()
-        return answered(client.getJson(url + InternalPaths.LEDGER + query).get())
+        return answered(client.getJson<LedgerView>(url + InternalPaths.LEDGER + query).get())
     }
 
     override fun close() = client.close()
