Search random schedules for faults of the replicated log

Focused tests alone do not show that a rule holds in combination with kills, cuts, lost disks and membership changes.

Election safety, log matching, leader completeness, state machine safety, reads and restarts are checked at each step, and progress after healing.

--- /dev/null
+++ b/consensus/src/test/kotlin/org/ibismoor/consensus/MembershipTest.kt
@@ -0,0 +1,107 @@
+package org.ibismoor.consensus
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import org.ibismoor.consensus.api.ConsensusRole
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.EntriesCommitted
+import org.ibismoor.consensus.api.MembersContent
+import org.ibismoor.consensus.api.Propose
+import org.ibismoor.consensus.api.ReachMembers
+import org.ibismoor.consensus.api.status
+import org.ibismoor.consensus.internal.SafetyRule
+import org.ibismoor.core.api.ReplicaId
+
+private fun SimulatedGroup.voters(): List<ReplicaId> =
+    tables(leader()).status().members.filter { it.isVoter }.map { it.replica }
+
+private fun SimulatedGroup.reach(vararg target: ReplicaId) = runUntil {
+    replicas.values.filter { it.tables != null }.forEach { give(it.id, ReachMembers(target.toList())) }
+    val isLed = leaders().isNotEmpty()
+    isLed && voters().toSet() == target.toSet() && tables(leader()).status().members.size == target.size
+}
+
+private fun SimulatedGroup.memberships(id: ReplicaId): List<String> =
+    effects.filter { it.first == id }.map { it.second }.filterIsInstance<EntriesCommitted>()
+        .flatMap { it.entries }.mapNotNull { (it.content as? MembersContent)?.members }
+        .map { members -> members.joinToString(" ") { if (it.isVoter) "${it.replica}" else "(${it.replica})" } }
+
+class MembershipTest : StringSpec({
+    "a lost voter is replaced: learner first, then the lost one leaves, then the learner is promoted" {
+        val group = SimulatedGroup(21)
+        val leader = group.awaitLeader()
+        val (lost, other) = group.replicas.keys.filter { it != leader }
+        group.replicas.remove(lost)
+        val next = lost.copy(epoch = 2)
+        group.add(next, emptyList())
+        group.run(2_000)
+        group.reach(leader, other, next)
+        group.run(500)
+        group.memberships(leader) shouldContainExactly listOf(
+            listOf("$A", "$B", "$C", "($next)"),
+            listOf(A, B, C).filter { it != lost }.map { "$it" } + "($next)",
+            listOf(A, B, C).filter { it != lost }.map { "$it" } + "$next",
+        ).map { it.joinToString(" ") }
+        group.get(other).kill()
+        group.give(leader, Propose(1, "after the loss of a second member"))
+        group.runUntil { get(next).appliedIndex == checker.commitIndex && checker.commitIndex > 5 }
+    }
+
+    "a learner that cannot be reached is not promoted, and the group goes on without it" {
+        val group = SimulatedGroup(22)
+        val leader = group.awaitLeader()
+        val added = replica("d")
+        group.add(added, emptyList())
+        group.isolate(added)
+        group.give(leader, ReachMembers(listOf(A, B, C, added)))
+        group.give(leader, Propose(1, "x"))
+        group.run(5_000)
+        group.voters() shouldContainExactlyInAnyOrder listOf(A, B, C)
+        group.tables(leader).status().members.size shouldBe 4
+        group.tables(leader).status().let { it.commitIndex shouldBe it.lastIndex }
+        group.cuts.clear()
+        group.reach(A, B, C, added)
+        group.run(200)
+        group.tables(added).status().role shouldBe ConsensusRole.FOLLOWER
+    }
+
+    "without the rule on promotion that learner gets a vote" {
+        val settings = ConsensusSettings().copy(disabledRules = setOf(SafetyRule.PROMOTE_COMPLETE_LEARNER))
+        val group = SimulatedGroup(22, settings = settings)
+        val leader = group.awaitLeader()
+        group.give(leader, ReachMembers(listOf(A, B, C, replica("d"))))
+        group.run(1_000)
+        group.voters() shouldContainExactlyInAnyOrder listOf(A, B, C, replica("d"))
+    }
+
+    "a leader that shall leave hands over and is removed by its successor" {
+        val group = SimulatedGroup(23)
+        val leader = group.awaitLeader()
+        val rest = listOf(A, B, C) - leader
+        group.reach(*rest.toTypedArray())
+        group.leader().let { it in rest } shouldBe true
+    }
+
+    "a removed member that stays up changes neither leader nor term" {
+        val group = SimulatedGroup(24)
+        val leader = group.awaitLeader()
+        val removed = listOf(A, B, C).first { it != leader }
+        group.reach(*(listOf(A, B, C) - removed).toTypedArray())
+        val term = group.tables(leader).term
+        group.run(20_000)
+        group.leader() shouldBe leader
+        group.tables(leader).term shouldBe term
+    }
+
+    "requested members that are all new replace the whole group" {
+        val group = SimulatedGroup(25)
+        group.awaitLeader()
+        val next = listOf(A, B, C).map { it.copy(epoch = 2) }
+        next.forEach { group.add(it, emptyList()) }
+        group.reach(*next.toTypedArray())
+        group.give(group.leader(), Propose(1, "x"))
+        group.runUntil { next.all { get(it).appliedIndex == checker.commitIndex } }
+    }
+})
--- /dev/null
+++ b/consensus/src/test/kotlin/org/ibismoor/consensus/RandomScheduleTest.kt
@@ -0,0 +1,62 @@
+package org.ibismoor.consensus
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import org.ibismoor.consensus.api.ConsensusSettings
+import org.ibismoor.consensus.api.ReadConfirmed
+import org.ibismoor.consensus.api.RestoreSnapshot
+import org.ibismoor.consensus.internal.SafetyRule
+
+/** About 9 s on one core. A longer search is run with another number in this system property. */
+private val SCHEDULES = System.getProperty("ibismoor.schedules", "600").toLong()
+private const val FAULTY_SCHEDULES = 1_000L
+
+private fun findViolation(options: ScheduleOptions): SafetyViolation? =
+    (1..FAULTY_SCHEDULES).firstNotNullOfOrNull { seed ->
+        runCatching { RandomSchedule(seed, options).run() }.exceptionOrNull() as? SafetyViolation
+    }
+
+private fun without(rule: SafetyRule): ConsensusSettings =
+    ScheduleOptions().settings.copy(disabledRules = setOf(rule))
+
+/**
+ * Guards against any interleaving of faults that loses or forks committed entries, and against a search that could not
+ * find one.
+ */
+class RandomScheduleTest : StringSpec({
+    "random schedules of faults keep the log safe, and the group makes progress after healing" {
+        val groups = (1..SCHEDULES).map { seed ->
+            withClue("seed $seed") { RandomSchedule(seed, ScheduleOptions()).run() }
+        }
+        val replicas = groups.flatMap { it.replicas.values }
+        withClue("the schedules reach elections, snapshots, reads and repairs") {
+            groups.sumOf { it.tables(it.leader()).term } shouldBeGreaterThan 3 * SCHEDULES
+            groups.sumOf { it.checker.commitIndex } shouldBeGreaterThan 20 * SCHEDULES
+            groups.sumOf { group -> group.effects.count { it.second is RestoreSnapshot } } shouldBeGreaterThan 200
+            groups.sumOf { group -> group.effects.count { it.second is ReadConfirmed } } shouldBeGreaterThan 500
+            replicas.count { it.id.epoch > 2 && it.appliedIndex > 0 } shouldBeGreaterThan 200
+        }
+    }
+
+    "the search finds messages that leave before their records are synced" {
+        findViolation(ScheduleOptions(order = EffectOrder.MESSAGES_FIRST)).shouldNotBeNull()
+    }
+
+    "the search finds entries that are applied before the commit index is synced" {
+        findViolation(ScheduleOptions(order = EffectOrder.COMMITS_FIRST)).shouldNotBeNull()
+    }
+
+    "the search finds votes of a replica that lost its disk and kept its epoch" {
+        val settings = without(SafetyRule.OUTSIDER_DOES_NOT_VOTE)
+        findViolation(ScheduleOptions(settings, isEpochKept = true)).shouldNotBeNull()
+    }
+
+    listOf(SafetyRule.VOTE_FOR_COMPLETE_LOG, SafetyRule.VOTE_ONCE, SafetyRule.ONE_CHANGE_AT_A_TIME).forEach { rule ->
+        "the search finds the fault without the rule $rule" {
+            findViolation(ScheduleOptions(without(rule))).shouldNotBeNull()
+        }
+    }
+})
