--- a/operator/src/main/kotlin/org/ibismoor/operator/internal/TryCommand.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/TryCommand.kt
@@ -25,7 +25,8 @@
 import java.util.concurrent.Callable
 
 private const val TIMEOUT_SECONDS = 20L
-private const val STATUS_OK = 200
+private const val SUCCESS_CLASS = 2
+private const val CLASS_SIZE = 100
 private const val END_OF_STREAM = "data: [DONE]"
 
 @Command(
@@ -103,7 +104,7 @@
         val response = client.send(request, HttpResponse.BodyHandlers.ofLines())
         val lines = response.body().use { stream -> stream.peek { println("  $it") }.toList() }
         println("  status ${response.statusCode()}")
-        return lines.takeIf { response.statusCode() == STATUS_OK }
+        return lines.takeIf { response.statusCode() / CLASS_SIZE == SUCCESS_CLASS }
     }
 
     private fun timeout(): Duration = Duration.ofSeconds(TIMEOUT_SECONDS)
