Compile the control process against the landed machine

The replica machine and membership have landed, so the views show routers, upstreams and charges that are not merged yet. Control compiles without warnings; it has not been run yet.

--- a/control/src/main/kotlin/org/ibismoor/control/internal/ControlRoutes.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/ControlRoutes.kt
@@ -30,11 +30,14 @@
         "/metrics" bind Method.GET to { text(Status.OK, metrics.scrape(), METRICS_CONTENT_TYPE) },
         "/health" bind Method.GET to { health(process) },
     )
-    val running: HttpHandler = routes(served + always)
-    val starting: HttpHandler = routes(always)
+    val running: HttpHandler = routesOf(served + always)
+    val starting: HttpHandler = routesOf(always)
     return { request -> if (process.isRunning) running(request) else starting(request).orNotReady() }
 }
 
+@Suppress("SpreadOperator") // the routing library takes its routes as varargs only
+private fun routesOf(list: List<RoutingHttpHandler>): HttpHandler = routes(*list.toTypedArray())
+
 private fun health(process: RunningControl): Response =
     if (process.isRunning) text(Status.OK, "ok\n") else text(Status.SERVICE_UNAVAILABLE, "starting\n")
 
--- a/control/src/main/kotlin/org/ibismoor/control/internal/OperatorRoutes.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/OperatorRoutes.kt
@@ -25,6 +25,7 @@
 import org.ibismoor.fleet.api.AnswerPublication
 import org.ibismoor.fleet.api.CommandAnswer
 import org.ibismoor.fleet.api.CommandCommitted
+import org.ibismoor.fleet.api.CommandRefused
 import org.ibismoor.fleet.api.CommandUnknown
 import org.ibismoor.fleet.api.NotLeader
 import org.ibismoor.fleet.api.PublicationReceived
@@ -67,9 +68,11 @@
         if (publication.number > 0) {
             readDeclarations(publication.sources)
         } else {
-            Rejected(listOf(Finding(Place("number"), "the number is not positive", "publish under the next number")))
+            Rejected(listOf(finding("the number is not positive", "publish under the next number")))
         }
 
+    private fun finding(problem: String, remedy: String) = Finding(Place("publication"), problem, remedy)
+
     private fun propose(number: Long, accepted: Accepted): PublicationAnswer {
         val tables = accepted.tables.copy(number = ConfigurationNumber(number))
         val effect = replies.exchange(PUBLICATION_MILLIS) {
@@ -83,6 +86,7 @@
         when (answer) {
             is CommandCommitted -> answerOf(answer.result, number, digest)
             is NotLeader -> PublicationMisdirected(answer.leader?.let { addresses.of(it, port.tables) })
+            is CommandRefused -> PublicationRejected(listOf(finding(answer.problem, "publish a smaller set")))
             is CommandUnknown -> PublicationOpen
         }
 
--- a/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
@@ -30,15 +30,15 @@
         configuration = tables.fleet.configuration.number.value,
         inForce = tables.inForce?.number?.value,
         inForceAtMillis = tables.inForce?.at?.epochMillis,
-        routers = emptyList(),
-        upstreams = emptyList(),
+        routers = tables.membership.routers.values.map { it.row }.sortedBy { it.id },
+        upstreams = tables.membership.upstreams.values.mapNotNull { it.report }.sortedBy { it.upstream },
     )
 }
 
 internal fun ledgerViewOf(tables: ControlTables, organisation: String?): LedgerView {
     val owners = tables.fleet.configuration.budgets.mapValues { it.value.organisation }
     val budgets = tables.fleet.budgets.entries.map { (id, row) -> budgetView(id, row, owners[id]) }
-    val charges = tables.fleet.charges.values.map { ChargeView(it, isMerged = true) }
+    val charges = chargesOf(tables)
     return LedgerView(
         replica = tables.replica,
         budgets = budgets.filter { organisation == null || it.organisation?.text == organisation }
@@ -48,6 +48,13 @@
     )
 }
 
+/** Charges that are merged and those that only this domain has yet, each request once. */
+private fun chargesOf(tables: ControlTables): List<ChargeView> {
+    val merged = tables.fleet.charges
+    val own = tables.ledger.durable.charges.filterKeys { it !in merged }.values
+    return merged.values.map { ChargeView(it, isMerged = true) } + own.map { ChargeView(it.charge, isMerged = false) }
+}
+
 private fun budgetView(id: BudgetId, row: BudgetRow, owner: OrganisationId?): BudgetView =
     BudgetView(
         budget = id,
