Add the router process and stand-ins for engines, services and platform

The router runs heartbeats, ledger batches and the routing decisions as one machine on its control thread; one traffic thread per request follows its decisions. Content is passed on at once; the chunk that finishes an answer, its usage and the terminator wait until the charge is durable. Engines are always asked for a stream with usage, also for callers without one. Four tests with an unmodified client library pass against a router with stand-ins in one process: whole answers and charges, usage on request, each token before the next, refusals with their outcome.

--- /dev/null
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
@@ -0,0 +1,108 @@
+/**
+ * Puts the parts of a router together: one thread for the control state, the server's and clients' threads for
+ * traffic.
+ */
+package org.ibismoor.router.internal
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
+import org.http4k.server.Http4kServer
+import org.ibismoor.core.api.SessionId
+import org.ibismoor.router.api.RouterProcess
+import org.ibismoor.router.api.RouterSettings
+import org.ibismoor.routing.api.DrainRequested
+import org.ibismoor.routing.api.RoutingSettings
+import org.ibismoor.routing.api.createRouting
+import org.ibismoor.routing.api.initialRoutingTables
+import org.ibismoor.runtime.api.ControlLoop
+import org.ibismoor.runtime.api.createClock
+import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.ClientSettings
+import org.ibismoor.transport.api.ServerSettings
+import org.ibismoor.transport.api.createInternalClient
+import org.ibismoor.transport.api.createOkHttpClient
+import org.ibismoor.transport.api.createServer
+import java.util.UUID
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+
+/** An engine may take this long before its next token; the deadline of the request is checked besides. */
+private const val UPSTREAM_READ_MILLIS = 120_000L
+private const val UPSTREAM_CONNECT_MILLIS = 1_000L
+private const val UPSTREAM_CONNECTIONS = 2_000
+
+internal fun startRouterProcess(settings: RouterSettings): RouterProcess {
+    val handler = CompletableFuture<CallerHandler>()
+    val serverSettings = ServerSettings(settings.host, settings.port, settings.httpLimits)
+    val server = createServer(serverSettings) { request, caller -> handler.join().handle(request, caller) }.start()
+    val router = RunningRouter(settings, server)
+    handler.complete(router.handler)
+    router.start()
+    return router
+}
+
+private class RunningRouter(private val settings: RouterSettings, private val server: Http4kServer) : RouterProcess {
+    private val session = SessionId(UUID.randomUUID().toString())
+    private val baseUrl = settings.publicUrl ?: "http://${settings.host}:${server.port()}"
+    private val metrics = RouterMetrics { loop.tables }
+    private val registry = StreamRegistry { loop.post(RoutingInput(it)) }
+    private val internalClient = createInternalClient()
+    private val loop: ControlLoop<RouterTables, RouterMessage, RouterEffect> = createLoop()
+    private val controlThread = Executors.newSingleThreadExecutor { Thread(it, "control").apply { isDaemon = true } }
+
+    override val ended = CompletableFuture<Unit>()
+    override val port: Int get() = server.port()
+
+    val handler: CallerHandler = createHandler()
+
+    fun start() {
+        val job = CoroutineScope(controlThread.asCoroutineDispatcher()).launch { loop.run() }
+        job.invokeOnCompletion { if (it != null) ended.completeExceptionally(it) }
+    }
+
+    override fun drain() = loop.post(RoutingInput(DrainRequested))
+
+    override fun close() {
+        server.stop()
+        loop.close()
+        controlThread.shutdown()
+        internalClient.close()
+    }
+
+    private fun createLoop(): ControlLoop<RouterTables, RouterMessage, RouterEffect> {
+        val clock = createClock()
+        val domains = settings.controls.map { it.domain }
+        val routingSettings = RoutingSettings(settings.domain, domains, settings.limits)
+        val machine = RouterMachine(
+            HeartbeatSystem(RouterIdentity(settings.id, settings.domain, baseUrl), domains),
+            OutboxSystem(),
+            createRouting(routingSettings),
+        )
+        val routing = initialRoutingTables(routingSettings, session, settings.seed, clock.now())
+        return ControlLoop(machine, RouterTables(routing, heartbeatAt = clock.now()), clock, createEffects())
+    }
+
+    private fun createEffects(): RouterEffects {
+        val controls = settings.controls.associate { it.domain to it.baseUrl.trimEnd('/') }
+        val messenger = ControlMessenger(session, controls, internalClient) { loop.post(it) }
+        return RouterEffects(messenger, registry, metrics) { ended.complete(Unit) }
+    }
+
+    private fun createHandler(): CallerHandler {
+        val client = UpstreamClient(createOkHttpClient(upstreamSettings()), session)
+        val refusals = Refusals({ loop.tables.view }, baseUrl, metrics)
+        return RouterHandler(
+            state = { loop.tables },
+            runner = StreamRunner(registry, refusals),
+            chat = ChatFlow(client, refusals),
+            services = ServiceFlow(client, refusals),
+            refusals = refusals,
+            reads = ReadAnswers({ loop.tables }, metrics, settings.seed),
+        )
+    }
+
+    /** Deadlines are set for each request. */
+    private fun upstreamSettings() =
+        ClientSettings(UPSTREAM_CONNECT_MILLIS, UPSTREAM_READ_MILLIS, callMillis = 0, UPSTREAM_CONNECTIONS)
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterMessage.kt
@@ -0,0 +1,36 @@
+/**
+ * What drives the tables of a router process beside the passing of time.
+ */
+package org.ibismoor.router.internal
+
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.ledger.api.LedgerAnswer
+import org.ibismoor.membership.api.HeartbeatAnswer
+import org.ibismoor.routing.api.RoutingMessage
+
+internal sealed interface RouterMessage
+
+/** A message for the routing decisions. */
+internal data class RoutingInput(val message: RoutingMessage) : RouterMessage
+
+internal data class HeartbeatAnswered(val domain: FailureDomainId, val answer: HeartbeatAnswer) : RouterMessage
+
+internal data class HeartbeatFailed(val domain: FailureDomainId) : RouterMessage
+
+internal sealed interface BatchEnded : RouterMessage {
+    val domain: FailureDomainId
+    val number: Long
+}
+
+internal data class BatchAnswered(
+    override val domain: FailureDomainId,
+    override val number: Long,
+    val answers: List<LedgerAnswer>,
+) : BatchEnded
+
+/** With [isDelivered] false the batch never reached the control process. */
+internal data class BatchFailed(
+    override val domain: FailureDomainId,
+    override val number: Long,
+    val isDelivered: Boolean,
+) : BatchEnded
--- /dev/null
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/StreamRegistry.kt
@@ -0,0 +1,29 @@
+/**
+ * The streams in flight, by their number. A stream leaves the registry with its last decision.
+ */
+package org.ibismoor.router.internal
+
+import org.ibismoor.routing.api.RoutingMessage
+import org.ibismoor.routing.api.StreamId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+internal class StreamRegistry(private val post: (RoutingMessage) -> Unit) {
+    private val streams = ConcurrentHashMap<StreamId, StreamExchange>()
+    private val lastId = AtomicLong()
+
+    fun open(): StreamExchange {
+        val exchange = StreamExchange(StreamId(lastId.incrementAndGet()), post)
+        streams[exchange.id] = exchange
+        return exchange
+    }
+
+    fun decide(id: StreamId, decision: StreamDecision) {
+        val exchange = if (decision is StreamDecision.Start) streams[id] else streams.remove(id)
+        exchange?.decide(decision)
+    }
+
+    fun cancel(id: StreamId) {
+        streams[id]?.cancel()
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/ibismoor/standin/internal/ModelEngine.kt
@@ -0,0 +1,90 @@
+/**
+ * A model engine that answers chat completions over server-sent events, with a bounded number of answers at a time.
+ */
+package org.ibismoor.standin.internal
+
+import org.http4k.core.Body
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.ibismoor.standin.api.EngineCounts
+import org.ibismoor.standin.api.EngineSettings
+import org.ibismoor.standin.api.EngineStandIn
+import org.ibismoor.transport.api.CallerConnection
+import org.ibismoor.transport.api.Decoded
+import org.ibismoor.transport.api.LoadReport
+import org.ibismoor.transport.api.ServerSettings
+import org.ibismoor.transport.api.createServer
+import org.ibismoor.transport.api.decodeJson
+import org.ibismoor.transport.api.foreignJson
+import org.ibismoor.transport.api.jsonResponse
+import java.util.UUID
+import java.util.concurrent.Semaphore
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+
+internal const val REQUEST_ID = "X-Request-Id"
+
+internal class ModelEngine(private val settings: EngineSettings) : EngineStandIn {
+    private val slots = Semaphore(settings.slots, true)
+    private val waiting = AtomicInteger()
+    private val state = AtomicReference(EngineCounts())
+    private val startId = UUID.randomUUID().toString()
+
+    @Volatile
+    private var isLeaving = false
+
+    private val server = createServer(ServerSettings(settings.host, settings.port), ::answer).start()
+
+    override val port: Int get() = server.port()
+    override val counts: EngineCounts get() = state.get()
+
+    override fun leave() {
+        isLeaving = true
+    }
+
+    override fun close() {
+        server.stop()
+    }
+
+    private fun answer(request: Request, caller: CallerConnection): Response =
+        when (request.uri.path) {
+            "/v1/chat/completions" -> complete(request, caller)
+            "/load" -> jsonResponse(Status.OK, LoadReport.serializer(), load())
+            "/counts" -> jsonResponse(Status.OK, EngineCounts.serializer(), counts)
+            "/leave" -> Response(Status.OK).also { if (request.method == Method.POST) leave() }
+            else -> Response(Status.NOT_FOUND)
+        }
+
+    private fun load() = LoadReport(settings.slots - slots.availablePermits(), waiting.get(), isLeaving, startId)
+
+    private fun complete(request: Request, caller: CallerConnection): Response {
+        val asked = decodeJson(CompletionRequest.serializer(), request.bodyString(), foreignJson)
+        val requestId = if (settings.faults.hasWrongRequestId) "other" else request.header(REQUEST_ID)
+        return when (asked) {
+            is Decoded.Malformed -> Response(Status.BAD_REQUEST).body(asked.problem)
+            is Decoded.Value -> run(asked.value, caller)
+        }.header(REQUEST_ID, requestId)
+    }
+
+    private fun run(asked: CompletionRequest, caller: CallerConnection): Response {
+        waiting.incrementAndGet()
+        slots.acquire()
+        waiting.decrementAndGet()
+        val leaving = if (isLeaving) 1 else 0
+        state.updateAndGet {
+            it.copy(started = it.started + 1, startedWhileLeaving = it.startedWhileLeaving + leaving)
+        }
+        val stream = CompletionStream(asked, settings, ::ended)
+        caller.onClosed(stream::cancel)
+        return Response(Status.OK).header("Content-Type", "text/event-stream").body(Body(stream))
+    }
+
+    private fun ended(isCompleted: Boolean) {
+        slots.release()
+        state.updateAndGet {
+            if (isCompleted) it.copy(completed = it.completed + 1) else it.copy(cancelled = it.cancelled + 1)
+        }
+    }
+}
