--- a/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.fleet.api.ControlEffect
 import org.ibismoor.fleet.api.ControlLogs
 import org.ibismoor.fleet.api.ControlMessage
+import org.ibismoor.fleet.api.ControlStart
 import org.ibismoor.fleet.api.ControlTables
 import org.ibismoor.fleet.api.ShutdownRequested
 import org.ibismoor.fleet.api.createControl
@@ -125,8 +126,7 @@
             ControlLogs(folder.consensus.records, folder.ledger.records),
             JsonFleetCodec,
             settings.control,
-            settings.seed,
-            clock.now(),
+            ControlStart(clock.now(), settings.seed),
         )
 
     private fun serverSettings(settings: ControlProcessSettings): ServerSettings {
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
@@ -29,10 +29,10 @@
     logs: ControlLogs,
     codec: FleetCodec,
     settings: ControlSettings,
-    seed: Long,
-    now: Timestamp,
+    start: ControlStart,
 ): ControlTables {
-    val restored = restoreConsensus(replica, logs.consensus, seed, now)
+    val now = start.time
+    val restored = restoreConsensus(replica, logs.consensus, start.seed, now)
     val replayed = replay(restored, codec)
     return ControlTables(
         replica = replica,
@@ -45,5 +45,8 @@
     )
 }
 
+/** The circumstances of one start: its [time] and the [seed] of the random choices that follow. */
+data class ControlStart(val time: Timestamp, val seed: Long)
+
 /** The records of the two logs of a control replica. */
 data class ControlLogs(val consensus: List<ConsensusRecord>, val ledger: List<DomainRecord>)
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
@@ -8,11 +8,11 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.configuration.api.ConfigurationNumber
 import org.ibismoor.consensus.api.ConsensusTables
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.WallTime
-import org.ibismoor.configuration.api.ConfigurationNumber
 import org.ibismoor.ledger.api.DomainLedgerTables
 import org.ibismoor.ledger.api.FleetTables
 import org.ibismoor.ledger.api.ShareTables
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
@@ -8,7 +8,6 @@
 import org.ibismoor.consensus.api.ProposalRefusal
 import org.ibismoor.consensus.api.status
 import org.ibismoor.core.api.ReplicaId
-import org.ibismoor.core.api.Step
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.TickSystem
 import org.ibismoor.fleet.api.AppendedCommand
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
@@ -8,6 +8,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.fleet.api.ControlLogs
 import org.ibismoor.fleet.api.ControlSettings
+import org.ibismoor.fleet.api.ControlStart
 import org.ibismoor.fleet.api.restoreControl
 import org.ibismoor.routing.api.RoutingEffect
 import org.ibismoor.routing.api.RoutingMessage
@@ -31,7 +32,7 @@
         val logs = ControlLogs(host.consensusLog, host.ledgerLog)
         val seedOfRun = seed + host.replica.hashCode() + now.millis
         return host.copy(
-            tables = restoreControl(host.replica, logs, codec, control, seedOfRun, now),
+            tables = restoreControl(host.replica, logs, codec, control, ControlStart(now, seedOfRun)),
             isFrozen = false,
         )
     }
--- a/standin/src/main/kotlin/org/ibismoor/standin/internal/PlatformList.kt
+++ b/standin/src/main/kotlin/org/ibismoor/standin/internal/PlatformList.kt
@@ -1,6 +1,6 @@
 /**
- * The platform's list of leaving VMs, read from a file. An answer is the content that the file had a lag ago, as far as it was
- * seen: the file is read at most once within the lag.
+ * The platform's list of leaving VMs, read from a file. An answer is the content that the file had a lag ago, as far
+ * as it was seen: the file is read at most once within the lag.
  */
 package org.ibismoor.standin.internal
 
