Keep the moment at which a configuration is in force in the membership tables

Cause: the status endpoint read the moment from a field of the control tables that nothing ever set, so a publishing step waited until its time was over although every router had the configuration. Ruled out: lost heartbeats and summaries, since status listed all routers and upstreams with current ages. Change: the membership tables hold number and moment, set by the system that decides it; the unused field is gone.

--- a/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
@@ -28,8 +28,8 @@
         members = consensus.members,
         controlUrls = addresses.others(tables).map { ControlUrl(it.key, it.value) }.sortedBy { it.replica },
         configuration = tables.fleet.configuration.number.value,
-        inForce = tables.inForce?.number?.value,
-        inForceAtMillis = tables.inForce?.at?.epochMillis,
+        inForce = tables.membership.inForce?.number?.value,
+        inForceAtMillis = tables.membership.inForce?.at?.epochMillis,
         routers = tables.membership.routers.values.map { it.row }.sortedBy { it.id },
         upstreams = tables.membership.upstreams.values.mapNotNull { it.report }.sortedBy { it.upstream },
     )
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlTables.kt
@@ -8,11 +8,9 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
-import org.ibismoor.configuration.api.ConfigurationNumber
 import org.ibismoor.consensus.api.ConsensusTables
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Timestamp
-import org.ibismoor.core.api.WallTime
 import org.ibismoor.ledger.api.DomainLedgerTables
 import org.ibismoor.ledger.api.FleetTables
 import org.ibismoor.ledger.api.ShareTables
@@ -27,16 +25,12 @@
     val membership: MembershipTables,
     val appliedIndex: Long = 0,
     val isLeading: Boolean = false,
-    val inForce: InForce? = null,
     val reachability: ReachabilityTables = ReachabilityTables(),
     val proposals: ProposalTables = ProposalTables(),
     val growth: LogGrowth = LogGrowth(),
     val inbox: PersistentList<ControlMessage> = persistentListOf(),
 )
 
-/** The highest configuration number that every live router has reported, and when that was seen. */
-data class InForce(val number: ConfigurationNumber, val at: WallTime)
-
 /** When each replica was last heard, which of them the leader counts as reachable, and when it checks again. */
 data class ReachabilityTables(
     val heardAt: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
--- a/membership/src/main/kotlin/org/ibismoor/membership/api/MembershipTables.kt
+++ b/membership/src/main/kotlin/org/ibismoor/membership/api/MembershipTables.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.core.api.WallTime
 
 /**
  * [deltas] are keyed by their base. [highestReported] is the highest number that any router reported here; no lower
@@ -31,7 +32,7 @@
     val deltaBases: PersistentMap<Long, ConfigurationNumber> = persistentHashMapOf(),
     val deltaCount: Long = 0,
     val highestReported: ConfigurationNumber = ConfigurationNumber.NONE,
-    val inForce: ConfigurationNumber = ConfigurationNumber.NONE,
+    val inForce: InForce? = null,
     val routers: PersistentMap<RouterId, RouterEntry> = persistentHashMapOf(),
     val routerListVersion: Long = firstVersion,
     val upstreams: PersistentMap<UpstreamId, UpstreamEntry> = persistentHashMapOf(),
@@ -43,6 +44,9 @@
     val summarySequence: Long = 0,
 )
 
+/** The highest configuration number that every live router has reported, and when that was seen here. */
+data class InForce(val number: ConfigurationNumber, val at: WallTime)
+
 /** A live router, the domain whose control process hears it, and the configuration number that it reported here. */
 data class RouterEntry(
     val row: RouterRow,
--- a/membership/src/main/kotlin/org/ibismoor/membership/internal/InForceSystem.kt
+++ b/membership/src/main/kotlin/org/ibismoor/membership/internal/InForceSystem.kt
@@ -11,6 +11,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.membership.api.ConfigurationInForce
 import org.ibismoor.membership.api.HeartbeatReceived
+import org.ibismoor.membership.api.InForce
 import org.ibismoor.membership.api.MembershipMessage
 import org.ibismoor.membership.api.MembershipSettings
 import org.ibismoor.membership.api.MembershipTables
@@ -19,13 +20,14 @@
 
 internal class InForceSystem(private val settings: MembershipSettings) : MembershipSystem {
     override fun run(tables: MembershipTables, tick: Tick<MembershipMessage>): MembershipStep {
-        val mayAdvance = tables.inForce < tables.configuration.number &&
+        val reached = tables.inForce?.number ?: ConfigurationNumber.NONE
+        val mayAdvance = reached < tables.configuration.number &&
             tick.messages.any { it is HeartbeatReceived || it is SummaryReceived }
         val number = if (mayAdvance) reportedByAll(tables, tick.now) else null
-        return if (number == null || number <= tables.inForce) {
+        return if (number == null || number <= reached) {
             Step(tables)
         } else {
-            Step(tables.copy(inForce = number), listOf(ConfigurationInForce(number, tick.wallTime)))
+            Step(tables.copy(inForce = InForce(number, tick.wallTime)), listOf(ConfigurationInForce(number, tick.wallTime)))
         }
     }
 
--- a/membership/src/test/kotlin/org/ibismoor/membership/MembershipTest.kt
+++ b/membership/src/test/kotlin/org/ibismoor/membership/MembershipTest.kt
@@ -29,6 +29,7 @@
 import org.ibismoor.membership.api.Heartbeat
 import org.ibismoor.membership.api.HeartbeatAnswer
 import org.ibismoor.membership.api.HeartbeatReceived
+import org.ibismoor.membership.api.InForce
 import org.ibismoor.membership.api.MembershipEffect
 import org.ibismoor.membership.api.MembershipMessage
 import org.ibismoor.membership.api.MembershipSettings
@@ -58,7 +59,8 @@
 private class Control(domain: FailureDomainId = norte1) {
     private val settings = MembershipSettings()
     private val machine = createMembership(settings)
-    private var tables = initialMembershipTables(ReplicaId(domain, 1), settings, Timestamp(0))
+    var tables = initialMembershipTables(ReplicaId(domain, 1), settings, Timestamp(0))
+        private set
     var now = 0L
     var configuration = ConfigurationTables()
 
@@ -159,6 +161,8 @@
         val current = lagging.copy(sequence = 2, lowestConfiguration = ConfigurationNumber(4))
         control.tell(SummaryReceived(current)) shouldContain
             ConfigurationInForce(ConfigurationNumber(4), WallTime(120_000))
+        // status reads the moment from the tables; without it a publishing step waits for ever
+        control.tables.inForce shouldBe InForce(ConfigurationNumber(4), WallTime(120_000))
     }
 
     "an upstream that leaves by its own signal or by the platform's list leaves until it has a new start identifier" {
