--- a/membership/src/main/kotlin/org/ibismoor/membership/internal/InForceSystem.kt
+++ b/membership/src/main/kotlin/org/ibismoor/membership/internal/InForceSystem.kt
@@ -27,7 +27,8 @@
         return if (number == null || number <= reached) {
             Step(tables)
         } else {
-            Step(tables.copy(inForce = InForce(number, tick.wallTime)), listOf(ConfigurationInForce(number, tick.wallTime)))
+            val inForce = InForce(number, tick.wallTime)
+            Step(tables.copy(inForce = inForce), listOf(ConfigurationInForce(inForce.number, inForce.at)))
         }
     }
 
