Make the last tokens of a budget spendable

Cause: small remainders stayed in several failure domains. A replica gave back at most half of what it had left, an urgent need was dropped while an older need of the same replica waited, and the answer that nothing is left counted a replica as empty before its returned tokens had reached the pool.

Change: the request for returned tokens names how many are urgent, and a replica returns these down to its last unreserved token. Its answer that nothing is left carries its returned counter, so that it counts only once those tokens are in the pool. Urgent needs of a budget form a queue. Only the first takes tokens from replicas that wait themselves, and only if the tokens known at the quorum could cover a request, so that two replicas never take the same tokens from each other in turn. A need that no reachable or unreachable replica can cover is answered as exhausted at once, and that answer is reused for 1 s while nothing is granted, spent or given back.

--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/PeerMessage.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/PeerMessage.kt
@@ -16,10 +16,13 @@
 @SerialName("needs")
 data class SharesNeeded(val needs: List<ShareNeed>) : PeerMessage
 
-/** The leader asks a replica to return at most [amount] tokens of its share. */
+/**
+ * The leader asks a replica to return at most [amount] tokens of its share, and of these up to [urgent] although the
+ * replica expects to use them.
+ */
 @Serializable
 @SerialName("return")
-data class ReturnAsked(val budget: BudgetId, val amount: Long) : PeerMessage
+data class ReturnAsked(val budget: BudgetId, val amount: Long, val urgent: Long = 0) : PeerMessage
 
 /** The leader tells a replica that nothing is left of these budgets. */
 @Serializable
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/DomainLedgerPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/DomainLedgerPart.kt
@@ -61,7 +61,7 @@
 
     private fun readPeer(message: PeerMessage): DomainLedgerMessage? =
         when (message) {
-            is ReturnAsked -> ReturnRequested(message.budget, message.amount)
+            is ReturnAsked -> ReturnRequested(message.budget, message.amount, message.urgent)
             is BudgetsExhausted -> SharesExhausted(message.budgets)
             is SharesNeeded -> null
         }
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/SharesPart.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/SharesPart.kt
@@ -54,7 +54,8 @@
         when (effect) {
             is IssueTokens ->
                 Translation.message(CommandSubmitted(PendingCommand(AllocatorOrigin, effect.command)))
-            is AskReturn -> deliver(control, effect.replica, ReturnAsked(effect.budget, effect.amount))
+            is AskReturn ->
+                deliver(control, effect.replica, ReturnAsked(effect.budget, effect.amount, effect.urgent))
             is AnswerNeeds -> deliver(control, effect.replica, BudgetsExhausted(effect.exhausted))
         }
 }
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainLedgerMessage.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/DomainLedgerMessage.kt
@@ -24,5 +24,8 @@
 /** The leader has no tokens left for these budgets, and no other replica has a surplus. */
 data class SharesExhausted(val budgets: List<BudgetId>) : DomainLedgerMessage
 
-/** The leader asks for tokens back, at most [amount]. */
-data class ReturnRequested(val budget: BudgetId, val amount: Long) : DomainLedgerMessage
+/**
+ * The leader asks for tokens back, at most [amount]. Requests of another replica wait for [urgent] of them, which are
+ * returned although this replica expects to use them.
+ */
+data class ReturnRequested(val budget: BudgetId, val amount: Long, val urgent: Long = 0) : DomainLedgerMessage
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/api/ShareTables.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/api/ShareTables.kt
@@ -1,6 +1,7 @@
 /**
- * Tables of the share allocator: the fleet state as observed, the expected use that replicas stated, and the needs
- * that wait for tokens to come back. They are not durable; a new leader starts with empty ones.
+ * Tables of the share allocator: the fleet state as observed, the expected use that replicas stated, the needs that
+ * wait for tokens to come back, and the budgets that could not cover one lately. They are not durable; a new leader
+ * starts with empty ones.
  */
 package org.ibismoor.ledger.api
 
@@ -17,5 +18,6 @@
     val reachable: Set<ReplicaId>? = null,
     val expected: PersistentMap<BudgetId, PersistentMap<ReplicaId, Long>> = persistentHashMapOf(),
     val waiting: PersistentMap<BudgetId, PersistentMap<ReplicaId, WaitingNeed>> = persistentHashMapOf(),
+    val exhausted: PersistentMap<BudgetId, ExhaustedRow> = persistentHashMapOf(),
     val waitingDue: DueQueue<BudgetId> = DueQueue.empty(),
 )
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/internal/FleetSystem.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/FleetSystem.kt
@@ -92,15 +92,18 @@
     }
 
     /**
-     * Gives back what is left beyond the expected use, and at least half of what is left, since a request waits
-     * elsewhere. Without a surplus it says so, which lets the leader tell an empty budget from a lost message.
+     * Gives back what is left beyond the expected use, at least half of what is left, and everything down to the last
+     * token for requests that wait elsewhere. When less than these requests lack is left, it says so, which lets the
+     * leader tell an empty budget from a lost message.
      */
     private fun giveBack(work: LedgerWork, message: ReturnRequested): LedgerWork {
         val budget = message.budget
         val available = work.tables.available(budget).coerceAtLeast(0)
         val expected = work.usage(budget).expected(work.now, settings.demandMillis)
-        val amount = minOf(message.amount, maxOf(available - expected, available / 2)).coerceAtLeast(0)
+        val surplus = maxOf(available - expected, available / 2, minOf(message.urgent, available))
+        val amount = minOf(message.amount, surplus)
         val returned = work.tables.durable.budget(budget).returned
-        return if (amount > 0) work.record(ReturnRecord(budget, returned + amount)) else work.noteNoSurplus(budget)
+        val given = if (amount > 0) work.record(ReturnRecord(budget, returned + amount)) else work
+        return if (amount < maxOf(message.urgent, 1)) given.noteNoSurplus(budget) else given
     }
 }
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/internal/NeedSystem.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/NeedSystem.kt
@@ -12,13 +12,13 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.ledger.api.AnswerNeeds
 import org.ibismoor.ledger.api.AskReturn
+import org.ibismoor.ledger.api.BudgetRow
 import org.ibismoor.ledger.api.NeedsReceived
 import org.ibismoor.ledger.api.ShareEffect
 import org.ibismoor.ledger.api.ShareMessage
 import org.ibismoor.ledger.api.ShareNeed
 import org.ibismoor.ledger.api.ShareSizingPolicy
 import org.ibismoor.ledger.api.ShareTables
-import org.ibismoor.ledger.api.ShareView
 import org.ibismoor.ledger.api.WaitingNeed
 
 /** A domain refuses after 500 ms, so tokens that come back later help the next request only. */
@@ -30,8 +30,8 @@
         val needs = messages.flatMap { message -> message.needs.map { message.replica to it } }
         return needs.fold(Step(tables)) { step, (replica, need) ->
             val noted = noteExpected(step.tables, replica, need)
-            val heard = if (need.hasNoSurplus) noted.withEmpty(need.budget, replica) else noted
-            val next = serve(heard, replica, need, tick.now)
+            val heard = if (need.hasNoSurplus) noted.withEmpty(need, replica) else noted
+            val next = receive(heard, replica, need, tick.now)
             Step(next.tables, step.effects + next.effects)
         }
     }
@@ -41,56 +41,67 @@
         return tables.copy(expected = tables.expected.put(need.budget, row.put(replica, need.expected)))
     }
 
-    private fun serve(
+    /**
+     * Tokens that came back for a waiting request go to it, not to the expected use of a replica that just gave them
+     * back; otherwise two replicas could take the same tokens from each other in turn.
+     */
+    private fun receive(
         tables: ShareTables,
         replica: ReplicaId,
         need: ShareNeed,
         now: Timestamp,
     ): Step<ShareTables, ShareEffect> {
-        val view = viewOf(tables, need.budget)
-        val amount = policy.issue(view, replica, need).coerceIn(0, view.pool.coerceAtLeast(0))
-        val issued = listOfNotNull(issueTokens(tables, need.budget, mapOf(replica to amount)))
-        val lacking = maxOf(need.urgent, need.expected) - amount
-        return if (lacking <= 0 || replica in tables.waiting[need.budget].orEmpty()) {
-            Step(tables, issued)
-        } else {
-            val asked = askBack(tables, view, replica, WaitingNeed(need, now + RETURN_WAIT_MILLIS), lacking)
-            Step(asked.tables, issued + asked.effects)
+        val isAwaited = tables.waiting[need.budget].orEmpty().values.any { it.isUrgent }
+        return when {
+            need.urgent > 0 && tables.isKnownExhausted(need, now) ->
+                Step(tables, listOf(AnswerNeeds(replica, listOf(need.budget))))
+            need.urgent > 0 -> Step(enqueue(tables, replica, need, now))
+            need.hasNoSurplus || isAwaited || replica in tables.waiting[need.budget].orEmpty() -> Step(tables)
+            else -> serveAhead(tables, replica, need, now)
         }
     }
 
-    private fun askBack(
+    /** A need that is stated again goes to the end of the queue and keeps what was heard for it. */
+    private fun enqueue(tables: ShareTables, replica: ReplicaId, need: ShareNeed, now: Timestamp): ShareTables {
+        val heard = tables.waiting[need.budget]?.get(replica)?.empty.orEmpty()
+        val waiting = WaitingNeed(
+            need = need,
+            deadline = now + RETURN_WAIT_MILLIS,
+            goal = need.issued + need.urgent,
+            asked = heard.keys,
+            empty = heard,
+        )
+        return tables.withWaiting(need.budget, replica, waiting)
+    }
+
+    private fun serveAhead(
         tables: ShareTables,
-        view: ShareView,
         replica: ReplicaId,
-        waiting: WaitingNeed,
-        lacking: Long,
+        need: ShareNeed,
+        now: Timestamp,
     ): Step<ShareTables, ShareEffect> {
-        val budget = view.budget
-        val asks = policy.askBack(view, replica, waiting.need, lacking).filterValues { it > 0 }
-        val effects = asks.map { (holder, amount) -> AskReturn(holder, budget, amount) }
-        return when {
-            asks.isNotEmpty() ->
-                Step(tables.withWaiting(budget, replica, waiting.copy(asked = asks.keys)), effects)
-            waiting.need.urgent > 0 && isExhausted(tables, budget, replica) ->
-                Step(tables, listOf(AnswerNeeds(replica, listOf(budget))))
-            else -> Step(tables)
-        }
+        val view = viewOf(tables, need.budget)
+        val amount = policy.issue(view, replica, need).coerceIn(0, view.pool.coerceAtLeast(0))
+        val issued = listOfNotNull(issueTokens(tables, need.budget, mapOf(replica to amount)))
+        val lacking = need.expected - amount
+        val asks = if (lacking > 0) policy.askBack(view, replica, need, lacking).filterValues { it > 0 } else emptyMap()
+        val goal = (tables.fleet.budgets[need.budget]?.share(replica)?.issued ?: 0) + amount + 1
+        val waiting = WaitingNeed(need, now + RETURN_WAIT_MILLIS, goal, asked = asks.keys)
+        val next = if (asks.isEmpty()) tables else tables.withWaiting(need.budget, replica, waiting)
+        return Step(next, issued + asks.map { (holder, returned) -> AskReturn(holder, need.budget, returned) })
     }
 }
 
-/** Whether the pool is empty and no other live replica, reachable or not, holds anything but those in [empty]. */
-internal fun isExhausted(
-    tables: ShareTables,
-    budget: BudgetId,
-    replica: ReplicaId,
-    empty: Set<ReplicaId> = emptySet(),
-): Boolean {
-    val row = tables.fleet.budgets[budget] ?: return false
-    val others = liveReplicas(tables.fleet).filter { it != replica && it !in empty }
-    return row.pool <= 0 && others.all { row.share(it).remaining <= 0 }
+/** Whether the budget had fewer unreserved tokens than the smallest waiting request a moment ago. */
+private fun ShareTables.isKnownExhausted(need: ShareNeed, now: Timestamp): Boolean {
+    val counted = fleet.budgets[need.budget]?.counted
+    val known = exhausted[need.budget] ?: return false
+    return now < known.until && known.counted == counted && need.smallest > known.free
 }
 
+/** Changes whenever tokens are granted, spent or given back. */
+internal val BudgetRow.counted: Long get() = granted + shares.values.sumOf { it.spent + it.voided }
+
 internal fun ShareTables.withWaiting(budget: BudgetId, replica: ReplicaId, need: WaitingNeed): ShareTables {
     val row = waiting[budget] ?: persistentHashMapOf()
     return copy(
@@ -104,11 +115,11 @@
     return copy(waiting = if (row.isEmpty()) waiting.remove(budget) else waiting.put(budget, row))
 }
 
-/** Notes for every need that waits for [replica] that it has nothing to give. */
-private fun ShareTables.withEmpty(budget: BudgetId, replica: ReplicaId): ShareTables {
-    val row = waiting[budget] ?: return this
+/** Notes for every need that waits for [replica] that it has nothing more to give. */
+private fun ShareTables.withEmpty(answer: ShareNeed, replica: ReplicaId): ShareTables {
+    val row = waiting[answer.budget] ?: return this
     val heard = row.mapValues { (_, need) ->
-        if (replica in need.asked) need.copy(empty = need.empty + replica) else need
+        if (replica in need.asked) need.copy(empty = need.empty + (replica to answer.returned)) else need
     }
-    return copy(waiting = waiting.put(budget, row.putAll(heard)))
+    return copy(waiting = waiting.put(answer.budget, row.putAll(heard)))
 }
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/internal/ShareUsage.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/ShareUsage.kt
@@ -47,18 +47,33 @@
     return if (isAsked || usage.isExhausted(now)) {
         this
     } else {
-        val need = ShareNeed(budget, usage.expected(now, settings.demandMillis), urgent)
-        withUsage(budget) { it.copy(askedAt = now) }.withNeed(need)
+        withUsage(budget) { it.copy(askedAt = now) }.withNeed(needOf(budget, urgent))
     }
 }
 
-/** Answers the leader that there is nothing to give back. */
+/** Answers the leader that there is nothing more to give back. */
 internal fun LedgerWork.noteNoSurplus(budget: BudgetId): LedgerWork {
-    val need = tables.needs[budget] ?: ShareNeed(budget, usage(budget).expected(now, settings.demandMillis), 0)
-    return withNeed(need.copy(hasNoSurplus = true))
+    val need = tables.needs[budget] ?: needOf(budget, urgent = 0)
+    return withNeed(need.copy(hasNoSurplus = true, returned = tables.durable.budget(budget).returned))
+}
+
+private fun LedgerWork.needOf(budget: BudgetId, urgent: Long): ShareNeed {
+    val usage = usage(budget)
+    return ShareNeed(
+        budget = budget,
+        expected = usage.expected(now, settings.demandMillis),
+        urgent = urgent,
+        smallest = usage.waiting.minOfOrNull { tables.pending[it]?.wanted ?: 0 } ?: 0,
+        available = tables.available(budget),
+        issued = tables.fleet.budgets[budget]?.share(tables.replica)?.issued ?: 0,
+    )
 }
 
 private fun LedgerWork.withNeed(need: ShareNeed): LedgerWork =
-    with(tables.copy(needs = tables.needs.put(need.budget, need)))
+    with(tables.copy(needs = tables.needs.put(need.budget, need.answering(tables.needs[need.budget]))))
+
+/** Keeps the answer of an [earlier] need of the same tick that there is nothing to give back. */
+private fun ShareNeed.answering(earlier: ShareNeed?): ShareNeed =
+    if (earlier?.hasNoSurplus == true && !hasNoSurplus) copy(hasNoSurplus = true, returned = earlier.returned) else this
 
 internal fun UsageRow.isExhausted(now: Timestamp): Boolean = exhaustedUntil?.let { now < it } ?: false
--- a/ledger/src/main/kotlin/org/ibismoor/ledger/internal/WaitingNeedSystem.kt
+++ b/ledger/src/main/kotlin/org/ibismoor/ledger/internal/WaitingNeedSystem.kt
@@ -12,49 +12,119 @@
 import org.ibismoor.core.api.TickSystem
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.ledger.api.AnswerNeeds
+import org.ibismoor.ledger.api.AskReturn
+import org.ibismoor.ledger.api.BudgetRow
+import org.ibismoor.ledger.api.ExhaustedRow
 import org.ibismoor.ledger.api.FleetObserved
+import org.ibismoor.ledger.api.LeadershipChanged
 import org.ibismoor.ledger.api.NeedsReceived
+import org.ibismoor.ledger.api.ReachableChanged
 import org.ibismoor.ledger.api.ShareEffect
 import org.ibismoor.ledger.api.ShareMessage
 import org.ibismoor.ledger.api.ShareSizingPolicy
 import org.ibismoor.ledger.api.ShareTables
-import org.ibismoor.ledger.api.WaitingNeed
+import org.ibismoor.ledger.api.ShareView
+
+/** How long the answer that no replica has tokens left is reused; longer only delays the use of freed tokens. */
+private const val EXHAUSTED_MILLIS = 1_000L
 
 internal class WaitingNeedSystem(private val policy: ShareSizingPolicy) :
     TickSystem<ShareTables, ShareMessage, ShareEffect> {
     override fun run(tables: ShareTables, tick: Tick<ShareMessage>): Step<ShareTables, ShareEffect> {
-        val hasAdvanced = tables.isLeader && tick.messages.any { it is FleetObserved || it is NeedsReceived }
         val due = tables.waitingDue.take(tick.now)
-        val overdue = due.entries.map { it.id }
-        val budgets = if (hasAdvanced) tables.waiting.keys + overdue else overdue
-        return budgets.distinct().sorted().fold(Step(tables.copy(waitingDue = due.rest))) { step, budget ->
+        val touched = if (tables.isLeader) tick.messages.flatMap(::budgetsOf) else emptyList()
+        val budgets = (touched + due.entries.map { it.id }).distinct().filter { it in tables.waiting }
+        return budgets.sorted().fold(Step(tables.copy(waitingDue = due.rest))) { step, budget ->
             val next = serveBudget(step.tables, budget, tick.now)
             Step(next.tables, step.effects + next.effects)
         }
     }
 
-    private fun serveBudget(tables: ShareTables, budget: BudgetId, now: Timestamp): Step<ShareTables, ShareEffect> =
-        tables.waiting[budget].orEmpty().toSortedMap().entries.fold(Step(tables)) { step, (replica, need) ->
-            val next = serve(step.tables, replica, need, now)
+    private fun budgetsOf(message: ShareMessage): Collection<BudgetId> =
+        when (message) {
+            is FleetObserved -> message.changed
+            is NeedsReceived -> message.needs.map { it.budget }
+            is LeadershipChanged, is ReachableChanged -> emptyList()
+        }
+
+    /** Ended needs leave the queue first, so that the next one asks in the same tick. */
+    private fun serveBudget(tables: ShareTables, budget: BudgetId, now: Timestamp): Step<ShareTables, ShareEffect> {
+        val start = Step<ShareTables, ShareEffect>(tables)
+        val ended = queueOf(tables, budget).fold(start) { step, entry ->
+            val next = endIfDone(step.tables, budget, entry, now)
+            Step(next.tables, step.effects + next.effects)
+        }
+        val queue = queueOf(ended.tables, budget)
+        return queue.indices.fold(ended) { step, position ->
+            val next = serve(step.tables, budget, queue, position)
             Step(next.tables, step.effects + next.effects)
         }
+    }
 
-    private fun serve(
+    private fun endIfDone(
         tables: ShareTables,
-        replica: ReplicaId,
-        waiting: WaitingNeed,
+        budget: BudgetId,
+        entry: QueuedNeed,
         now: Timestamp,
     ): Step<ShareTables, ShareEffect> {
-        val budget = waiting.need.budget
-        val view = viewOf(tables, budget)
-        val amount = policy.issue(view, replica, waiting.need).coerceIn(0, view.pool.coerceAtLeast(0))
-        val ended = tables.withoutWaiting(budget, replica)
+        val waiting = entry.waiting
+        val row = tables.fleet.budgets[budget] ?: BudgetRow(0)
+        val isOver = row.share(entry.replica).issued >= waiting.goal || now >= waiting.deadline
+        val left = tables.withoutWaiting(budget, entry.replica)
         return when {
-            amount > 0 -> Step(ended, listOfNotNull(issueTokens(tables, budget, mapOf(replica to amount))))
-            waiting.need.urgent > 0 && isExhausted(tables, budget, replica, waiting.empty) ->
-                Step(ended, listOf(AnswerNeeds(replica, listOf(budget))))
-            now >= waiting.deadline -> Step(ended)
+            waiting.isUrgent && isExhausted(tables, row, entry) -> {
+                val known = ExhaustedRow(freeFor(tables, row, entry), row.counted, now + EXHAUSTED_MILLIS)
+                val answer = AnswerNeeds(entry.replica, listOf(budget))
+                Step(left.copy(exhausted = left.exhausted.put(budget, known)), listOf(answer))
+            }
+            isOver -> Step(left)
             else -> Step(tables)
         }
     }
+
+    private fun serve(
+        tables: ShareTables,
+        budget: BudgetId,
+        queue: List<QueuedNeed>,
+        position: Int,
+    ): Step<ShareTables, ShareEffect> {
+        val (replica, waiting) = queue[position]
+        val row = tables.fleet.budgets[budget] ?: BudgetRow(0)
+        val promised = queue.take(position).sumOf { it.lacking(row) }
+        val view = viewOf(tables, budget).copy(pool = (row.pool - promised).coerceAtLeast(0))
+        val lacking = queue[position].lacking(row)
+        val need = waiting.need.copy(urgent = if (waiting.isUrgent) lacking else 0)
+        val amount = policy.issue(view, replica, need).coerceIn(0, view.pool)
+        val isProposed = waiting.proposedAt == row.share(replica).issued
+        val issue = if (isProposed) null else issueTokens(tables, budget, mapOf(replica to amount))
+        val asks = asksOf(tables, view, queue, position).filterKeys { amount < lacking && it !in waiting.asked }
+        val served = waiting.copy(
+            asked = waiting.asked + asks.keys,
+            proposedAt = if (issue == null) waiting.proposedAt else row.share(replica).issued,
+        )
+        val effects = asks.map { (holder, returned) -> AskReturn(holder, budget, returned, minOf(lacking, returned)) }
+        return Step(tables.withServed(budget, replica, served), listOfNotNull(issue) + effects)
+    }
+
+    /**
+     * What to ask back for an urgent need. Only the first in the queue takes tokens from replicas that wait
+     * themselves, and only when the tokens of the reachable replicas could cover a request. With it, two replicas
+     * never take the same tokens from each other in turn: the first keeps them until its need ends.
+     */
+    private fun asksOf(
+        tables: ShareTables,
+        view: ShareView,
+        queue: List<QueuedNeed>,
+        position: Int,
+    ): Map<ReplicaId, Long> {
+        val entry = queue[position]
+        val row = tables.fleet.budgets[view.budget] ?: BudgetRow(0)
+        val reachable = view.others(entry.replica).map { it.replica }
+        val canCover = row.pool + openTokens(row, entry, reachable) >= entry.smallestLacking(row)
+        if (!entry.waiting.isUrgent || !canCover) return emptyMap()
+        val waiting = if (position == 0) emptySet() else queue.mapTo(mutableSetOf()) { it.replica }
+        val lacking = entry.lacking(row)
+        return policy.askBack(view, entry.replica, entry.waiting.need, lacking)
+            .filter { (holder, amount) -> amount > 0 && holder !in waiting }
+    }
 }
