Retry unsent attempts elsewhere without the retry budget

Cause: a router cut off from most upstreams of a group refused with upstream_failed although others could be reached. Attempts that failed before a byte was sent used up the retry budget and the limit of four attempts, went to unreachable upstreams again, and the limit of 50% ejected members kept those in use.

Change: a retry after NOT_SENT draws nothing from the retry budget and has no backoff. It never goes to an upstream that the request could not reach, so it is bounded by the members of the group and by the deadline. The first failed connect ejects the upstream for 1 s, doubling to 60 s, whatever part of the group is ejected; an answer resets that. The retry counter is labelled with the kind of failure (not_sent, refused, no_answer), so the reasons can be told apart.

--- a/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
@@ -3,6 +3,7 @@
  */
 package org.ibismoor.routing.api
 
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SeededRandom
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamId
@@ -13,6 +14,7 @@
     val candidates: List<UpstreamId>,
     val upstreams: Map<UpstreamId, UpstreamRow>,
     val prefixHashes: List<Long>,
+    val ownDomain: FailureDomainId,
     val turn: Long,
     val random: SeededRandom,
     val now: Timestamp,
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/StreamRow.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/StreamRow.kt
@@ -4,6 +4,8 @@
 package org.ibismoor.routing.api
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.configuration.api.Priority
 import org.ibismoor.configuration.api.Route
@@ -17,7 +19,8 @@
  * [work] is what was asked for and does not change. [due] is the time of the next step that no message causes
  * and [retryAt] the time of the next attempt. [mayHaveRunBefore] is true while it is not certain that no earlier
  * attempt ran the request with this key, here or through another router. [upstream] is the upstream of the last
- * attempt, [failure] why it failed.
+ * attempt, [failure] why it failed. [tried] are the upstreams of failed attempts, [unreachable] those of them to which
+ * no byte was sent.
  */
 data class StreamRow(
     val id: StreamId,
@@ -30,6 +33,7 @@
     val lease: LedgerLease? = null,
     val upstream: UpstreamId? = null,
     val tried: PersistentList<UpstreamId> = persistentListOf(),
+    val unreachable: PersistentSet<UpstreamId> = persistentHashSetOf(),
     val isStarted: Boolean = false,
     val answerTokens: Long = 0,
     val failure: AttemptFailure? = null,
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/UpstreamRow.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/UpstreamRow.kt
@@ -13,7 +13,8 @@
 
 /**
  * [inFlight] counts this router's attempts under way and [inFlightAtReport] their count when [report] arrived at
- * [reportedAt]. [returnedAt] is the end of the last ejection. A row whose upstream [isRemoved] from the configuration
+ * [reportedAt]. [failedConnects] counts failed connects since the last answer, one for each ejection that they caused.
+ * [returnedAt] is the end of the last ejection. A row whose upstream [isRemoved] from the configuration
  * stays until its last attempt ends.
  */
 data class UpstreamRow(
@@ -27,6 +28,7 @@
     val isRemoved: Boolean = false,
     val failures: Int = 0,
     val ejections: Int = 0,
+    val failedConnects: Int = 0,
     val ejectedUntil: Timestamp? = null,
     val returnedAt: Timestamp? = null,
 ) {
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
@@ -36,9 +36,15 @@
         }
     }
 
-    /** A retry goes to an upstream that has not failed the request, if there is one. */
-    private fun candidates(group: GroupRow, row: StreamRow): List<UpstreamId> =
-        if (row.tried.isEmpty()) group.usable else group.usable.filter { it !in row.tried }.ifEmpty { group.usable }
+    /**
+     * A retry goes to an upstream that has not failed the request, if there is one, and never to one that the request
+     * could not reach.
+     */
+    private fun candidates(group: GroupRow, row: StreamRow): List<UpstreamId> {
+        if (row.tried.isEmpty()) return group.usable
+        val reachable = group.usable.filter { it !in row.unreachable }
+        return reachable.filter { it !in row.tried }.ifEmpty { reachable }
+    }
 
     private fun choose(tables: RoutingTables, row: StreamRow, all: List<UpstreamId>, now: Timestamp): RoutingStep {
         var random = tables.random
@@ -46,7 +52,7 @@
         var draws = 0
         do {
             val turn = tables.group(row.work.route.group).turn + draws
-            val input = SelectionInput(all, tables.upstreams, row.work.prefixHashes, turn, random, now)
+            val input = SelectionInput(all, tables.upstreams, row.work.prefixHashes, settings.ownDomain, turn, random, now)
             chosen = settings.selection.select(input)
             random = random.advance().advance()
             draws++
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
@@ -75,30 +75,56 @@
 
     private fun failed(tables: RoutingTables, message: AttemptFailed, now: Timestamp): RoutingStep {
         val row = running(tables, message.stream)?.takeIf { it.upstream == message.upstream } ?: return tables.step()
+        val isNotSent = message.failure == AttemptFailure.NOT_SENT
         val ended = row.copy(
             phase = StreamPhase.WAITING,
             failure = message.failure,
             mayHaveRunBefore = row.mayHaveRunBefore || message.failure.mayHaveRun,
             tried = row.tried.add(message.upstream),
+            unreachable = if (isNotSent) row.unreachable.add(message.upstream) else row.unreachable,
         )
-        val isOutlierSign = message.failure != AttemptFailure.REFUSED
-        val counted = if (isOutlierSign) tables.failed(message.upstream, now) else tables.step()
-        return counted.then { retry(it.put(ended, limits), ended, now) }
+        val counted = when (message.failure) {
+            AttemptFailure.NOT_SENT -> tables.notReached(message.upstream, now)
+            AttemptFailure.REFUSED -> tables.step()
+            else -> tables.failed(message.upstream, now)
+        }
+        return counted.then {
+            val left = it.put(ended, limits)
+            if (isNotSent) retryElsewhere(left, ended, now) else retry(left, ended, now)
+        }
+    }
+
+    /**
+     * An attempt of which no byte was sent loads no upstream, so it draws nothing from the retry budget and its retry
+     * needs no backoff. Each upstream is tried once, which bounds these attempts by the size of the group.
+     */
+    private fun retryElsewhere(tables: RoutingTables, row: StreamRow, now: Timestamp): RoutingStep {
+        val hasOther = tables.group(row.work.route.group).members.any {
+            it !in row.unreachable && tables.upstreams[it]?.isLeaving == false
+        }
+        val retryAt = now + UNSENT_RETRY_MILLIS
+        return if (hasOther && retryAt < row.work.deadline) {
+            tables.put(row.copy(retryAt = retryAt), limits)
+                .step(CountEvent(RoutingEvent.RETRY, AttemptFailure.NOT_SENT.code))
+        } else {
+            tables.fail(settings, row, Failure(RefusalReason.UPSTREAM_FAILED), now)
+        }
     }
 
     private fun retry(tables: RoutingTables, row: StreamRow, now: Timestamp): RoutingStep {
         val group = tables.group(row.work.route.group)
         val retries = settings.retry.afterRetry(group.retries, now)
-        val retryAt = now + settings.retry.backoffMillis(row.tried.size, tables.random)
-        val reason = reasonOf(checkNotNull(row.failure))
+        val sent = row.tried.size - row.unreachable.size
+        val retryAt = now + settings.retry.backoffMillis(sent, tables.random)
+        val failure = checkNotNull(row.failure)
         val drawn = tables.copy(random = tables.random.advance())
         return when {
-            !isSafe(row) || row.tried.size >= limits.attempts || retryAt >= row.work.deadline ->
-                drawn.fail(settings, row, Failure(reason), now)
+            !isSafe(row) || sent >= limits.attempts || retryAt >= row.work.deadline ->
+                drawn.fail(settings, row, Failure(reasonOf(failure)), now)
             retries == null -> drawn.fail(settings, row, Failure(RefusalReason.RETRY_BUDGET_EXHAUSTED), now)
             else -> drawn.with(row.work.route.group, group.copy(retries = retries))
                 .put(row.copy(retryAt = retryAt), limits)
-                .step(CountEvent(RoutingEvent.RETRY, reason.code))
+                .step(CountEvent(RoutingEvent.RETRY, failure.code))
         }
     }
 
@@ -116,4 +142,9 @@
             AttemptFailure.TIMEOUT -> RefusalReason.UPSTREAM_TIMEOUT
             else -> RefusalReason.UPSTREAM_FAILED
         }
+
+    private companion object {
+        /** The next tick, so that connects which fail together eject their upstreams before another is selected. */
+        const val UNSENT_RETRY_MILLIS = 1L
+    }
 }
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamTable.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamTable.kt
@@ -18,6 +18,10 @@
 private const val LONGEST_EJECTION_MILLIS = 60_000L
 private const val LARGEST_SHIFT = 4
 
+// Short, since a failed connect says little about the upstream's work and a retry costs its request one connect.
+private const val FIRST_UNREACHABLE_MILLIS = 1_000L
+private const val LARGEST_UNREACHABLE_SHIFT = 6
+
 internal fun RoutingTables.withUpstream(row: UpstreamRow): RoutingTables {
     val id = row.upstream.id
     val wasUsable = upstreams[id]?.isUsable
@@ -33,8 +37,18 @@
 }
 
 internal fun RoutingTables.succeeded(id: UpstreamId): RoutingTables {
-    val row = upstreams[id]?.takeIf { it.failures > 0 } ?: return this
-    return copy(upstreams = upstreams.put(id, row.copy(failures = 0)))
+    val row = upstreams[id]?.takeIf { it.failures > 0 || it.failedConnects > 0 } ?: return this
+    return copy(upstreams = upstreams.put(id, row.copy(failures = 0, failedConnects = 0)))
+}
+
+/**
+ * Ejects an upstream at its first failed connect, whatever part of its group is ejected: an upstream that cannot be
+ * reached does no work, so to skip it takes no capacity away. Connects that failed together count once.
+ */
+internal fun RoutingTables.notReached(id: UpstreamId, now: Timestamp): RoutingStep {
+    val row = upstreams[id]?.takeIf { it.ejectedUntil == null } ?: return step()
+    val time = FIRST_UNREACHABLE_MILLIS shl row.failedConnects.coerceAtMost(LARGEST_UNREACHABLE_SHIFT)
+    return eject(row.copy(failedConnects = row.failedConnects + 1), time, now)
 }
 
 /** Counts a failure and ejects the upstream after too many in a row, unless half of its group is ejected. */
@@ -42,7 +56,7 @@
     val row = upstreams[id] ?: return step()
     val counted = row.copy(failures = row.failures + 1)
     val isOutlier = counted.failures >= FAILURES_BEFORE_EJECTION && row.ejectedUntil == null
-    return if (isOutlier && mayEject(row)) eject(counted, now) else withUpstream(counted).step()
+    return if (isOutlier && mayEject(row)) ejectOutlier(counted, now) else withUpstream(counted).step()
 }
 
 private fun RoutingTables.mayEject(row: UpstreamRow): Boolean {
@@ -51,11 +65,15 @@
     return (ejected + 1) * 2 <= members.size
 }
 
-private fun RoutingTables.eject(row: UpstreamRow, now: Timestamp): RoutingStep {
+private fun RoutingTables.ejectOutlier(row: UpstreamRow, now: Timestamp): RoutingStep {
     val time = FIRST_EJECTION_MILLIS shl row.ejections.coerceAtMost(LARGEST_SHIFT)
-    val until = now + time.coerceAtMost(LONGEST_EJECTION_MILLIS)
+    return eject(row.copy(failures = 0, ejections = row.ejections + 1), time, now)
+}
+
+private fun RoutingTables.eject(row: UpstreamRow, millis: Long, now: Timestamp): RoutingStep {
+    val until = now + millis.coerceAtMost(LONGEST_EJECTION_MILLIS)
     val id = row.upstream.id
-    return withUpstream(row.copy(failures = 0, ejections = row.ejections + 1, ejectedUntil = until))
+    return withUpstream(row.copy(ejectedUntil = until))
         .let { it.copy(due = it.due.plus(until, UpstreamTimer(id))) }
         .step(CountEvent(RoutingEvent.EJECTION, id.text))
 }
