--- /dev/null
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceFile.kt
@@ -0,0 +1,52 @@
+/**
+ * Reads and writes a trace as JSON lines: the header, then arrivals and faults in order of time.
+ */
+package org.ibismoor.bench.replay.internal
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.ibismoor.core.api.Finding
+import org.ibismoor.core.api.Place
+import java.nio.file.Files
+import java.nio.file.Path
+
+private const val LARGEST_TRACE_BYTES = 64_000_000L
+
+internal sealed interface TraceResult
+
+internal data class TraceRead(val trace: Trace) : TraceResult
+
+internal data class TraceFindings(val findings: List<Finding>) : TraceResult
+
+internal object TraceFile {
+    private val json = Json { encodeDefaults = true }
+
+    fun write(path: Path, trace: Trace) {
+        val lines = trace.lines.map { json.encodeToString(TraceLine.serializer(), it) }
+        Files.write(path, listOf(json.encodeToString(TraceHeader.serializer(), trace.header)) + lines)
+    }
+
+    fun read(path: Path): TraceResult {
+        val isReadable = Files.isReadable(path) && Files.size(path) <= LARGEST_TRACE_BYTES
+        if (!isReadable) return findings(path, null, "the trace cannot be read or is larger than $LARGEST_TRACE_BYTES B")
+        val lines = Files.readAllLines(path)
+        val decoded = lines.drop(1).map { decode(TraceLine.serializer(), it) }
+        val header = lines.firstOrNull()?.let { decode(TraceHeader.serializer(), it) }
+        val wrong = decoded.indexOfFirst { it == null }
+        return when {
+            header == null -> findings(path, 1, "the header is wrong")
+            wrong >= 0 -> findings(path, wrong + 2, "the line is no arrival or fault")
+            else -> TraceRead(Trace(header, decoded.filterNotNull()))
+        }
+    }
+
+    private fun <T> decode(serializer: kotlinx.serialization.KSerializer<T>, text: String): T? =
+        try {
+            json.decodeFromString(serializer, text)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private fun findings(path: Path, line: Int?, problem: String): TraceResult =
+        TraceFindings(listOf(Finding(Place("$path", line), problem, "write the trace anew with --write")))
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceGenerator.kt
@@ -0,0 +1,164 @@
+/**
+ * Generates the traces of the two deployments from a seed.
+ */
+package org.ibismoor.bench.replay.internal
+
+import org.ibismoor.configuration.api.Priority
+import org.ibismoor.core.api.SeededRandom
+import kotlin.math.ln
+
+private const val DURATION_MILLIS = 30_000L
+private const val TOKENS_PER_SECOND = 700
+private const val BATCH = 16
+private const val CACHE_PREFIXES = 12
+private const val ORGANISATIONS = 10
+private const val PREFIXES = 6
+private const val FRACTION = 1_000_000L
+private const val MILLIS = 1_000.0
+private const val PERCENT = 100L
+private const val STORM_RETRIES = 3
+private const val FAULT_AT = 10_000L
+private const val RETURN_AT = 20_000L
+
+/** A deployment; [oneWayMillis] is the delay between its domains. */
+internal enum class Deployment(val region: String, val oneWayMillis: Double, val engines: Int) {
+    BILBAO("norte", 0.5, 6),
+    COULEE("prairie", 1.2, 8),
+    ;
+
+    val domains: List<String> get() = (1..DOMAINS).map { "$region-$it" }
+
+    private companion object {
+        const val DOMAINS = 3
+    }
+}
+
+/** [load] and [burst] are in percent of what the engines can generate; [burst] holds between the fault times. */
+internal enum class TraceKind(val load: Long, val burst: Long, val expected: List<Expectation>) {
+    CALM(
+        50,
+        50,
+        listOf(
+            Expectation(Metric.GOODPUT, ROUND_ROBIN, 100),
+            Expectation(Metric.FIRST_TOKEN_P95, RANDOM, 100),
+            Expectation(Metric.CACHE_HITS, ROUND_ROBIN, 120),
+        ),
+    ),
+    BURST(50, 180, listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 100), Expectation(Metric.GOODPUT, NO_ADMISSION, 100))),
+    ENGINE_LOSS(
+        60,
+        60,
+        listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 100), Expectation(Metric.FALSE_REFUSALS, ROUND_ROBIN, 110)),
+    ),
+    DOMAIN_LOSS(
+        50,
+        50,
+        listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 100), Expectation(Metric.FALSE_REFUSALS, ROUND_ROBIN, 110)),
+    ),
+    RETRY_STORM(
+        60,
+        250,
+        listOf(
+            Expectation(Metric.GOODPUT, UNBOUNDED_RETRIES, 100),
+            Expectation(Metric.AMPLIFICATION, UNBOUNDED_RETRIES, 100),
+        ),
+    ),
+    LARGE_ORGANISATION(
+        130,
+        130,
+        listOf(Expectation(Metric.FAIRNESS, NO_ADMISSION, 100), Expectation(Metric.GOODPUT, ROUND_ROBIN, 100)),
+    ),
+}
+
+internal class TraceGenerator(private val deployment: Deployment, private val kind: TraceKind, private val seed: Long) {
+    private var random = SeededRandom(seed)
+
+    fun generate(): Trace {
+        val engines = (0 until deployment.engines).map { i ->
+            val domain = deployment.domains[i % deployment.domains.size]
+            EngineDeclaration("engine-$i", domain, TOKENS_PER_SECOND, BATCH, CACHE_PREFIXES)
+        }
+        val header = TraceHeader(
+            name = "${deployment.name.lowercase()}-${kind.name.lowercase().replace('_', '-')}",
+            seed = seed,
+            deployment = deployment.name.lowercase(),
+            durationMillis = DURATION_MILLIS,
+            oneWayMillis = deployment.oneWayMillis,
+            callerRetries = if (kind == TraceKind.RETRY_STORM) STORM_RETRIES else 0,
+            engines = engines,
+            expected = kind.expected,
+        )
+        return Trace(header, (arrivals() + faults(engines)).sortedBy { it.at })
+    }
+
+    private fun arrivals(): List<Arrival> {
+        val arrivals = mutableListOf<Arrival>()
+        var at = gap(0.0)
+        while (at < DURATION_MILLIS) {
+            arrivals += arrival(at.toLong())
+            at += gap(at)
+        }
+        return arrivals
+    }
+
+    /** Milliseconds to the next arrival of a Poisson process with the load of the time [at]. */
+    private fun gap(at: Double): Double {
+        val load = if (at >= FAULT_AT && at < RETURN_AT) kind.burst else kind.load
+        val perSecond = deployment.engines * TOKENS_PER_SECOND / MEAN_COST * load / PERCENT
+        return -ln((draw(FRACTION) + 1).toDouble() / FRACTION) / perSecond * MILLIS
+    }
+
+    private fun arrival(at: Long): Arrival {
+        val organisation = organisation()
+        val isLarge = organisation < LARGE
+        val answer = SHORTEST_ANSWER + draw(ANSWER_SPREAD)
+        return Arrival(
+            at = at,
+            organisation = "organisation-$organisation",
+            priority = if (draw(PERCENT) < LIVE_PERCENT) Priority.LIVE else Priority.NORMAL,
+            promptTokens = (SHORTEST_PROMPT + draw(PROMPT_SPREAD)).toInt(),
+            prefix = organisation * PREFIXES + if (isLarge) draw(PREFIXES.toLong()) else draw(2),
+            answerTokens = answer.toInt(),
+            deadlineMillis = DEADLINE_MILLIS,
+        )
+    }
+
+    /** The large organisations send most of the requests; with one large organisation it sends nearly all. */
+    private fun organisation(): Long =
+        when {
+            kind == TraceKind.LARGE_ORGANISATION && draw(PERCENT) < DOMINANT_PERCENT -> 0
+            kind != TraceKind.LARGE_ORGANISATION && draw(PERCENT) < LARGE_PERCENT -> draw(LARGE)
+            else -> LARGE + draw(ORGANISATIONS - LARGE)
+        }
+
+    private fun faults(engines: List<EngineDeclaration>): List<TraceLine> {
+        val first = engines.first()
+        return when (kind) {
+            TraceKind.ENGINE_LOSS -> listOf(
+                EngineLost(FAULT_AT, first.id),
+                EngineReturned(RETURN_AT, first.id),
+                EngineSlow(FAULT_AT, engines[1].id, SLOW_PERCENT),
+                EngineSlow(RETURN_AT, engines[1].id, PERCENT.toInt()),
+            )
+            TraceKind.DOMAIN_LOSS -> listOf(DomainLost(FAULT_AT, first.domain), DomainReturned(RETURN_AT, first.domain))
+            else -> emptyList()
+        }
+    }
+
+    private fun draw(bound: Long): Long = random.below(bound).also { random = random.advance() }
+
+    private companion object {
+        /** Engine tokens of a mean request: 130 of answer, and a tenth of about 600 of prompt. */
+        const val MEAN_COST = 190.0
+        const val SHORTEST_ANSWER = 40L
+        const val ANSWER_SPREAD = 180L
+        const val SHORTEST_PROMPT = 200L
+        const val PROMPT_SPREAD = 800L
+        const val LARGE = 3L
+        const val LARGE_PERCENT = 70L
+        const val DOMINANT_PERCENT = 85L
+        const val LIVE_PERCENT = 70L
+        const val DEADLINE_MILLIS = 12_000L
+        const val SLOW_PERCENT = 40
+    }
+}
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
@@ -7,7 +7,11 @@
 import org.ibismoor.core.api.SeededRandom
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.routing.internal.LeastInFlight
 import org.ibismoor.routing.internal.PowerOfTwoChoices
+import org.ibismoor.routing.internal.PrefixAffinity
+import org.ibismoor.routing.internal.RandomChoice
+import org.ibismoor.routing.internal.RoundRobin
 
 /** [candidates] is not empty; [turn] counts the dispatches of the group. */
 data class SelectionInput(
@@ -27,3 +31,18 @@
 
 /** The less loaded of two random upstreams. */
 fun powerOfTwoChoices(): SelectionPolicy = PowerOfTwoChoices
+
+/**
+ * The upstream that a hash of the prompt prefix assigns, if its load is at most a quarter above the mean of the
+ * candidates; otherwise the next one by that hash. Prompts without a known prefix go to the less loaded of two.
+ */
+fun prefixAffinity(): SelectionPolicy = PrefixAffinity
+
+/** Baseline: each upstream in turn. */
+fun roundRobin(): SelectionPolicy = RoundRobin
+
+/** Baseline: any upstream. */
+fun randomChoice(): SelectionPolicy = RandomChoice
+
+/** Baseline: the upstream with the fewest attempts of this router, without load reports. */
+fun leastInFlight(): SelectionPolicy = LeastInFlight
--- /dev/null
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/PrefixAffinity.kt
@@ -0,0 +1,25 @@
+/**
+ * Affinity to the engine that holds the prompt prefix: rendezvous hashing with a load bound. The bound is one request
+ * above the mean at least, so that a hot prefix spills over to a second engine before it waits at the first.
+ */
+package org.ibismoor.routing.internal
+
+import org.ibismoor.core.api.SeededRandom
+import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.routing.api.SelectionInput
+import org.ibismoor.routing.api.SelectionPolicy
+
+private const val BOUND_FACTOR = 1.25
+
+internal object PrefixAffinity : SelectionPolicy {
+    override fun select(input: SelectionInput): UpstreamId {
+        val prefix = input.prefixHashes.lastOrNull() ?: return PowerOfTwoChoices.select(input)
+        val loads = input.candidates.associateWith(input::load)
+        val bound = loads.values.average() * BOUND_FACTOR + 1
+        return input.candidates.filter { loads.getValue(it) <= bound }
+            .maxByOrNull { rank(prefix, it) } ?: PowerOfTwoChoices.select(input)
+    }
+
+    private fun rank(prefix: Long, id: UpstreamId): Long =
+        SeededRandom(prefix xor id.text.hashCode().toLong()).below(Long.MAX_VALUE)
+}
