Select by prefix affinity and follow what upstreams refuse

Change: the default selection is prefix affinity with a load bound; the load of other routers is smoothed over reports; the number of active requests follows the refusals of upstreams.

--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Score.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Score.kt
@@ -25,7 +25,7 @@
 
 /**
  * [goodput] is the share of requests answered whole within their deadline. [falseRefusals] counts requests that failed
- * while an engine had a free place in its batch. [amplification] is attempts for each request, [cacheHits] the share of
+ * before a token while an engine had a free place in its batch. [amplification] is attempts for each request, [cacheHits] the share of
  * attempts that found their prefix, and [fairness] the lowest goodput of an organisation.
  */
 internal data class Score(
--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Writes.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Writes.kt
@@ -31,6 +31,7 @@
     val hasRoom = engines.values.any {
         it.isUp && it.domain !in lost && it.running.size + it.waiting.size < it.declaration.batch
     }
-    val done = row.copy(endedAt = now, isAnswered = isAnswered, isFalseRefusal = !isAnswered && hasRoom)
+    val isRefused = !isAnswered && row.firstTokenAt == null
+    val done = row.copy(endedAt = now, isAnswered = isAnswered, isFalseRefusal = isRefused && hasRoom)
     return copy(requests = requests.put(stream, done), unfinished = unfinished - 1)
 }
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingSettings.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingSettings.kt
@@ -10,8 +10,9 @@
     val ownDomain: FailureDomainId,
     val controlDomains: List<FailureDomainId> = listOf(ownDomain),
     val limits: RoutingLimits = RoutingLimits(),
-    val selection: SelectionPolicy = powerOfTwoChoices(),
+    val selection: SelectionPolicy = prefixAffinity(),
     val queue: QueuePolicy = fairQueue(),
+    val concurrency: ConcurrencyPolicy = adaptiveConcurrency(),
     val retry: RetryPolicy = budgetedRetries(),
     val reservation: ReservationPolicy = quantileReservation(),
 ) {
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/MembershipSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/MembershipSystem.kt
@@ -66,7 +66,7 @@
 
     private fun reported(tables: RoutingTables, report: UpstreamReport, now: Timestamp): RoutingTables {
         val row = tables.upstreams[report.upstream] ?: return tables
-        val known = row.copy(report = report, reportedAt = now, inFlightAtReport = row.inFlight)
+        val known = row.reported(report, now)
         val isBack = row.isLeaving && !report.isLeaving && report.startId != row.leavingStartId
         val next = when {
             report.isLeaving -> known.copy(isLeaving = true, leavingStartId = report.startId)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/PowerOfTwoChoices.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/PowerOfTwoChoices.kt
@@ -22,6 +22,12 @@
 // Loads that differ by less than half a request are equal: the difference comes from the age of their reports.
 private const val EQUAL_LOAD = 0.5
 
+/** The least loaded of [ids], which are looked at from a random one on, so that routers do not all pick the first. */
+internal fun SelectionInput.leastLoaded(ids: List<UpstreamId>): UpstreamId {
+    val first = random.below(ids.size.toLong()).toInt()
+    return (ids.drop(first) + ids.take(first)).reduce(::lessLoaded)
+}
+
 /** The less loaded of two upstreams; between equal loads one of the own failure domain, which is nearer. */
 internal fun SelectionInput.lessLoaded(a: UpstreamId, b: UpstreamId): UpstreamId {
     val difference = load(b) - load(a)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/PrefixAffinity.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/PrefixAffinity.kt
@@ -10,14 +10,15 @@
 import org.ibismoor.routing.api.SelectionPolicy
 
 private const val BOUND_FACTOR = 1.25
+private const val BOUND_EXTRA = 0.5
 
 internal object PrefixAffinity : SelectionPolicy {
     override fun select(input: SelectionInput): UpstreamId {
-        val prefix = input.prefixHashes.lastOrNull() ?: return PowerOfTwoChoices.select(input)
+        val prefix = input.prefixHashes.lastOrNull() ?: return input.leastLoaded(input.candidates)
         val loads = input.candidates.associateWith(input::load)
-        val bound = loads.values.average() * BOUND_FACTOR + 1
+        val bound = loads.values.average() * BOUND_FACTOR + BOUND_EXTRA
         return input.candidates.filter { loads.getValue(it) <= bound }
-            .maxByOrNull { rank(prefix, it) } ?: PowerOfTwoChoices.select(input)
+            .maxByOrNull { rank(prefix, it) } ?: input.leastLoaded(input.candidates)
     }
 
     private fun rank(prefix: Long, id: UpstreamId): Long =
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/QueueSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/QueueSystem.kt
@@ -33,5 +33,7 @@
     }
 
     private fun hasRoom(group: GroupRow): Boolean =
-        group.active < group.usable.size * settings.limits.inFlightPerUpstream
+        group.usable.isNotEmpty() && group.active < settings.concurrency.room(group, largest(group))
+
+    private fun largest(group: GroupRow): Int = group.usable.size * settings.limits.inFlightPerUpstream
 }
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.routing.api.AttemptFailure
 import org.ibismoor.routing.api.Completion
 import org.ibismoor.routing.api.CountEvent
+import org.ibismoor.routing.api.GroupRow
 import org.ibismoor.routing.api.RoutingEvent
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingSettings
@@ -60,11 +61,15 @@
         val row = running(tables, message.stream)?.takeIf { it.upstream == message.upstream } ?: return tables.step()
         val completion = Completion(message.cost, message.status, now)
         val answered = row.copy(phase = StreamPhase.ANSWERED, completion = completion)
-        val learned = learn(tables.succeeded(message.upstream), row, message.cost)
+        val succeeded = tables.succeeded(message.upstream).changed(row) { settings.concurrency.afterAnswer(it) }
+        val learned = learn(succeeded, row, message.cost)
         val waitsForLedger = row.work.isIdempotent && row.lease?.pending != null
         return if (waitsForLedger) learned.put(answered, limits).step() else leases.settle(learned, answered, now)
     }
 
+    private fun RoutingTables.changed(row: StreamRow, change: (GroupRow) -> GroupRow): RoutingTables =
+        with(row.work.route.group, change(group(row.work.route.group)))
+
     private fun learn(tables: RoutingTables, row: StreamRow, cost: Long): RoutingTables {
         val route = row.work.route.id
         val bound = row.work.answerTokenBound.toLong()
@@ -85,7 +90,7 @@
         )
         val counted = when (message.failure) {
             AttemptFailure.NOT_SENT -> tables.notReached(message.upstream, now)
-            AttemptFailure.REFUSED -> tables.step()
+            AttemptFailure.REFUSED -> tables.changed(row) { settings.concurrency.afterRefusal(it) }.step()
             else -> tables.failed(message.upstream, now)
         }
         return counted.then {
