--- a/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/SelectionPolicy.kt
@@ -33,8 +33,8 @@
 fun powerOfTwoChoices(): SelectionPolicy = PowerOfTwoChoices
 
 /**
- * The upstream that a hash of the prompt prefix assigns, if its load is at most a quarter above the mean of the
- * candidates; otherwise the next one by that hash. Prompts without a known prefix go to the less loaded of two.
+ * The upstream that a hash of the prompt prefix assigns, if its load is near the mean of the candidates; otherwise the
+ * next one by that hash. Prompts without a known prefix go to the least loaded upstream.
  */
 fun prefixAffinity(): SelectionPolicy = PrefixAffinity
 
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/AdaptiveConcurrency.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/AdaptiveConcurrency.kt
@@ -22,9 +22,15 @@
     override fun room(group: GroupRow, largest: Int): Double =
         (group.limit ?: largest.toDouble()).coerceIn(1.0, largest.toDouble())
 
+    /** Refusals that arrive while more are active than the limit belong to the time before its last decrease. */
     override fun afterRefusal(group: GroupRow): GroupRow {
-        val used = minOf(group.limit ?: group.active.toDouble(), group.active.toDouble())
-        return group.copy(limit = (used * DECREASE).coerceAtLeast(group.usable.size.coerceAtLeast(1).toDouble()))
+        val limit = group.limit ?: (group.active + 1.0)
+        val least = group.usable.size.coerceAtLeast(1).toDouble()
+        return if (group.limit != null && group.active > limit) {
+            group
+        } else {
+            group.copy(limit = (minOf(limit, group.active.toDouble()) * DECREASE).coerceAtLeast(least))
+        }
     }
 
     override fun afterAnswer(group: GroupRow): GroupRow {
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
@@ -16,6 +16,7 @@
 import org.ibismoor.routing.api.SelectionInput
 import org.ibismoor.routing.api.StreamPhase
 import org.ibismoor.routing.api.StreamRow
+import org.ibismoor.routing.api.UpstreamRow
 
 internal class SelectionSystem(private val settings: RoutingSettings) : RoutingSystem {
     private val limits = settings.limits
@@ -47,22 +48,26 @@
     }
 
     private fun choose(tables: RoutingTables, row: StreamRow, all: List<UpstreamId>, now: Timestamp): RoutingStep {
+        val turn = tables.group(row.work.route.group).turn
+        var left = all
         var random = tables.random
-        var chosen = all.first()
-        var draws = 0
-        do {
-            val turn = tables.group(row.work.route.group).turn + draws
-            val input = SelectionInput(all, tables.upstreams, row.work.prefixHashes, settings.ownDomain, turn, random, now)
-            chosen = settings.selection.select(input)
+        while (true) {
+            val prefixes = row.work.prefixHashes
+            val input = SelectionInput(left, tables.upstreams, prefixes, settings.ownDomain, turn, random, now)
+            val chosen = settings.selection.select(input)
             random = random.advance().advance()
-            draws++
-        } while (draws < LARGEST_DRAWS && isHeldBack(tables, chosen, random, now))
-        return dispatch(tables.copy(random = random.advance()), row, chosen, now)
+            val isTaken = left.size == 1 || !isHeldBack(tables.upstreams.getValue(chosen), random, now)
+            if (isTaken) return dispatch(tables.copy(random = random.advance()), row, chosen, now)
+            left = left - chosen
+        }
     }
 
-    /** An upstream that came back from an ejection gets a growing part of what would be selected for it. */
-    private fun isHeldBack(tables: RoutingTables, id: UpstreamId, random: SeededRandom, now: Timestamp): Boolean =
-        random.below(TENTHS) >= tables.upstreams.getValue(id).slowStartTenths(now)
+    /**
+     * An upstream that came back from an ejection gets a growing part of what would be selected for it. After a failed
+     * connect it gets one request at a time until it has answered, since each may wait for the connect to time out.
+     */
+    private fun isHeldBack(row: UpstreamRow, random: SeededRandom, now: Timestamp): Boolean =
+        (row.failedConnects > 0 && row.inFlight > 0) || random.below(TENTHS) >= row.slowStartTenths(now)
 
     private fun dispatch(tables: RoutingTables, row: StreamRow, id: UpstreamId, now: Timestamp): RoutingStep {
         val group = tables.group(row.work.route.group)
@@ -89,6 +94,5 @@
     private companion object {
         const val WAIT_MILLIS = 50L
         const val TENTHS = 10L
-        const val LARGEST_DRAWS = 4
     }
 }
