Refuse folders that lost what they promised, and report all bad settings together

Change: a process tells the folders that it has seen at any time, folders without a log are refused with exit code 5, settings and addresses are findings with exit code 2, growth is restored, and places are noted before entries are applied. A torn tail is logged.

--- a/control/src/main/kotlin/org/ibismoor/control/internal/ControlRoutes.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/ControlRoutes.kt
@@ -20,13 +20,12 @@
 /** While [process] does not run yet, only identity, metrics and health answer; [served] is refused. */
 internal fun controlRoutes(
     process: RunningControl,
-    identity: FolderIdentity,
+    identity: () -> FolderIdentity,
     served: List<RoutingHttpHandler>,
     metrics: PrometheusMeterRegistry,
 ): HttpHandler {
-    val answer = IdentityAnswer(identity.made.replica, identity.made.folder, identity.seen)
     val always = listOf(
-        IDENTITY_PATH bind Method.GET to { jsonResponse(Status.OK, IdentityAnswer.serializer(), answer) },
+        IDENTITY_PATH bind Method.GET to { identified(identity()) },
         "/metrics" bind Method.GET to { text(Status.OK, metrics.scrape(), METRICS_CONTENT_TYPE) },
         "/health" bind Method.GET to { health(process) },
     )
@@ -38,6 +37,11 @@
 @Suppress("SpreadOperator") // the routing library takes its routes as varargs only
 private fun routesOf(list: List<RoutingHttpHandler>): HttpHandler = routes(*list.toTypedArray())
 
+private fun identified(identity: FolderIdentity): Response {
+    val answer = IdentityAnswer(identity.made.replica, identity.made.folder, identity.seen)
+    return jsonResponse(Status.OK, IdentityAnswer.serializer(), answer)
+}
+
 private fun health(process: RunningControl): Response =
     if (process.isRunning) text(Status.OK, "ok\n") else text(Status.SERVICE_UNAVAILABLE, "starting\n")
 
--- a/control/src/main/kotlin/org/ibismoor/control/internal/DataFolder.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/DataFolder.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.ledger.api.DomainRecord
 import org.ibismoor.storage.api.OpenedLog
 import org.ibismoor.storage.api.StorageException
+import org.ibismoor.storage.api.TornTail
 import org.ibismoor.storage.api.createFileStore
 import org.ibismoor.transport.api.Decoded
 import org.ibismoor.transport.api.decodeJson
@@ -23,12 +24,17 @@
 private const val CONSENSUS_LOG = "consensus"
 private const val LEDGER_LOG = "ledger"
 
+/** What to do when a replica has lost what it promised to keep. */
+internal const val NEXT_EPOCH = "declare the next epoch of this replica and run init --join true for it"
+
 /** The opened logs of a data folder with what they hold. */
 internal class DataFolder(
     val identity: TypedLog<FolderRecord>,
     val consensus: TypedLog<ConsensusRecord>,
     val ledger: TypedLog<DomainRecord>,
 ) : AutoCloseable {
+    val tornTails: List<TornTail> get() = listOf(identity, consensus, ledger).mapNotNull { it.tornTail }
+
     override fun close() {
         listOf(identity, consensus, ledger).forEach { it.log.close() }
     }
@@ -71,17 +77,34 @@
 }
 
 private fun openLogs(folder: Path, replica: ReplicaId): OpenResult {
+    val missing = logsMissing(folder)
+    if (missing.isNotEmpty()) return unsafe(missingProblem(folder, missing))
     val opened = openFolder(folder)
     val identity = identityOf(opened.identity.records)
     val problem = when {
         identity == null -> "$folder was not made by init; run init with an empty folder"
         identity.made.replica != replica -> "$folder belongs to ${identity.made.replica}, not to $replica"
+        isEmptyFounder(identity, opened) -> "the consensus log in $folder is empty; $NEXT_EPOCH"
         else -> null
     }
     if (problem != null) opened.close()
     return if (problem == null) OpenResult.Opened(opened, checkNotNull(identity)) else unsafe(problem)
 }
 
+/** Opening makes a log that is absent, so a lost log would be taken for an empty one. */
+private fun logsMissing(folder: Path): List<String> =
+    listOf(IDENTITY_LOG, CONSENSUS_LOG, LEDGER_LOG).filterNot { Files.exists(folder.resolve("$it.log")) }
+
+private fun missingProblem(folder: Path, missing: List<String>): String =
+    if (IDENTITY_LOG in missing) {
+        "$folder was not made by init; run init with an empty folder"
+    } else {
+        "$folder has lost ${missing.joinToString(" and ") { "$it.log" }}; $NEXT_EPOCH"
+    }
+
+private fun isEmptyFounder(identity: FolderIdentity, opened: DataFolder): Boolean =
+    identity.made.role == FolderRole.FOUNDER && opened.consensus.records.isEmpty()
+
 private fun unsafe(problem: String): OpenResult = OpenResult.Unsafe(problem)
 
 private fun openFolder(folder: Path): DataFolder {
@@ -94,7 +117,7 @@
 }
 
 private fun <R> typedLog(opened: OpenedLog, serializer: KSerializer<R>): TypedLog<R> =
-    TypedLog(opened.log, serializer, opened.records.map { decode(serializer, it) })
+    TypedLog(opened.log, serializer, opened.records.map { decode(serializer, it) }, opened.tornTail)
 
 private fun <R> decode(serializer: KSerializer<R>, text: String): R =
     when (val decoded = decodeJson(serializer, text)) {
--- a/control/src/main/kotlin/org/ibismoor/control/internal/FolderCheck.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/FolderCheck.kt
@@ -25,24 +25,25 @@
     private val identity: FolderIdentity,
     private val peers: Map<ReplicaId, String>,
 ) {
-    /** Waits for all peers. The records to keep, or null if the folder must not be used. */
+    /** Waits for all peers. The records to keep, or null as soon as one of them remembers another folder. */
     fun run(): List<FolderRecord>? {
-        val answers = (identity.made.members - identity.made.replica).map(::ask)
-        val isForgotten = answers.any { it.seen[identity.made.replica].let { seen -> seen != null && seen != own() } }
-        return (answers.map { PeerFolderSeen(it.replica, it.folder) } + FolderChecked).takeUnless { isForgotten }
-    }
-
-    private fun own(): String = identity.made.folder
-
-    private fun ask(replica: ReplicaId): IdentityAnswer {
-        var answer = askOnce(replica)
-        while (answer == null) {
+        var answers = askAll(emptyMap())
+        while (answers.size < identity.founders.size && !answers.values.any(::isForgotten)) {
             TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS)
-            answer = askOnce(replica)
+            answers = askAll(answers)
         }
-        return answer
+        val records = answers.values.map { PeerFolderSeen(it.replica, it.folder) } + FolderChecked
+        return records.takeUnless { answers.values.any(::isForgotten) }
     }
 
+    private fun isForgotten(answer: IdentityAnswer): Boolean {
+        val seen = answer.seen[identity.made.replica]
+        return seen != null && seen != identity.made.folder
+    }
+
+    private fun askAll(known: Map<ReplicaId, IdentityAnswer>): Map<ReplicaId, IdentityAnswer> =
+        known + (identity.founders - known.keys).mapNotNull(::askOnce).associateBy { it.replica }
+
     private fun askOnce(replica: ReplicaId): IdentityAnswer? {
         val url = checkNotNull(peers[replica]) { "no address of $replica is known" }
         val result = client.getJson<IdentityAnswer>(url + IDENTITY_PATH).get()
--- a/control/src/main/kotlin/org/ibismoor/control/internal/FolderIdentity.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/FolderIdentity.kt
@@ -34,7 +34,17 @@
 internal enum class FolderRole { FOUNDER, LEARNER }
 
 /** What the records of a folder say together. */
-internal data class FolderIdentity(val made: FolderMade, val seen: Map<ReplicaId, String>, val isChecked: Boolean)
+internal data class FolderIdentity(val made: FolderMade, val seen: Map<ReplicaId, String>, val isChecked: Boolean) {
+    /** The other replicas with which the group was made. */
+    val founders: Set<ReplicaId> get() = made.members.toSet() - made.replica
+}
+
+/** This identity after [records] were added. */
+internal fun FolderIdentity.with(records: List<FolderRecord>): FolderIdentity =
+    copy(
+        seen = seen + records.filterIsInstance<PeerFolderSeen>().associate { it.replica to it.folder },
+        isChecked = isChecked || FolderChecked in records,
+    )
 
 internal fun identityOf(records: List<FolderRecord>): FolderIdentity? {
     val made = records.firstOrNull() as? FolderMade
--- a/control/src/main/kotlin/org/ibismoor/control/internal/InitCommand.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/InitCommand.kt
@@ -14,8 +14,10 @@
 import org.ibismoor.runtime.api.reportFindings
 import org.ibismoor.runtime.api.requiredSetting
 import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.runtime.api.unknownFindings
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import picocli.CommandLine.Unmatched
 import java.nio.file.Path
 import java.util.concurrent.Callable
 
@@ -37,12 +39,15 @@
     @Option(names = ["--join"], description = ["true for a replica that joins a group that runs."])
     private var join: String? = null
 
+    @Unmatched
+    private var unknown: List<String> = ArrayList()
+
     override fun call(): Int {
         val folder = requiredSetting("--data-folder", dataFolder, SettingTypes.folder)
         val self = requiredSetting("--replica", replica, SettingTypes.replica)
         val group = optionalSetting("--members", members, SettingTypes.listOf(SettingTypes.replica))
         val isJoining = optionalSetting("--join", join, SettingTypes.flag)
-        val findings = settingFindings(folder, self, group, isJoining)
+        val findings = settingFindings(folder, self, group, isJoining) + unknownFindings(unknown)
         val joins = isJoining.valueOrNull == true
         return when {
             findings.isNotEmpty() -> reportFindings(findings)
--- a/control/src/main/kotlin/org/ibismoor/control/internal/RunCommand.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/RunCommand.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.control.api.ControlProcess
 import org.ibismoor.control.api.ControlProcessSettings
+import org.ibismoor.control.api.Misconfigured
 import org.ibismoor.control.api.Started
 import org.ibismoor.control.api.UnsafeFolder
 import org.ibismoor.control.api.startControl
@@ -17,8 +18,10 @@
 import org.ibismoor.runtime.api.reportFindings
 import org.ibismoor.runtime.api.requiredSetting
 import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.runtime.api.unknownFindings
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import picocli.CommandLine.Unmatched
 import java.security.SecureRandom
 import java.util.concurrent.Callable
 import java.util.concurrent.ExecutionException
@@ -43,6 +46,9 @@
     @Option(names = ["--seed"], description = ["Seed of random decisions; drawn at random by default."])
     private var seed: String? = null
 
+    @Unmatched
+    private var unknown: List<String> = ArrayList()
+
     override fun call(): Int {
         val folder = requiredSetting("--data-folder", dataFolder, SettingTypes.folder)
         val self = requiredSetting("--replica", replica, SettingTypes.replica)
@@ -50,7 +56,7 @@
         val others = optionalSetting("--peers", peers, SettingTypes.listOf(PeerType))
         val platform = optionalSetting("--platform-url", platformUrl, SettingTypes.text)
         val seeded = optionalSetting("--seed", seed, SettingTypes.wholeNumber(0L..Long.MAX_VALUE))
-        val findings = settingFindings(folder, self, address, others, platform, seeded)
+        val findings = settingFindings(folder, self, address, others, platform, seeded) + unknownFindings(unknown)
         return if (findings.isEmpty()) {
             run(
                 ControlProcessSettings(
@@ -70,6 +76,7 @@
 
     private fun run(settings: ControlProcessSettings): Int =
         when (val result = startControl(settings)) {
+            is Misconfigured -> reportFindings(result.findings)
             is UnsafeFolder -> unsafe(result.problem)
             is Started -> awaitEnd(result.process)
         }
--- a/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
@@ -9,6 +9,7 @@
 import org.http4k.server.Http4kServer
 import org.ibismoor.control.api.ControlProcess
 import org.ibismoor.control.api.ControlProcessSettings
+import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.fleet.api.ControlEffect
 import org.ibismoor.fleet.api.ControlLogs
 import org.ibismoor.fleet.api.ControlMessage
@@ -27,8 +28,10 @@
 import org.ibismoor.transport.api.InternalPaths
 import org.ibismoor.transport.api.ServerSettings
 import org.ibismoor.transport.api.createServer
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicReference
 
 private const val MAXIMUM_PUBLICATION_BYTES = 64L * 1024 * 1024
 private const val HANDOVER_MILLIS = 2_000L
@@ -40,6 +43,7 @@
     identity: FolderIdentity,
     private val client: InternalClient,
 ) : ControlProcess, ControlPort {
+    private val known = AtomicReference(identity)
     private val clock = createClock()
     private val metrics: PrometheusMeterRegistry = createMetrics("control")
     private val meters = ControlMeters(metrics)
@@ -59,7 +63,7 @@
         LedgerRoutes(this, replies, meters).all +
             PeerRoutes(settings.replica, this, replies).all +
             OperatorRoutes(this, replies, addresses, meters).all
-    private val handler: HttpHandler = controlRoutes(this, identity, served, metrics)
+    private val handler: HttpHandler = controlRoutes(this, known::get, served, metrics)
     private val server: Http4kServer = createServer(serverSettings(settings)) { request, _ -> handler(request) }
 
     /** Set once when the control thread starts. */
@@ -73,13 +77,28 @@
 
     override fun post(message: ControlMessage) = loop.post(message)
 
-    /** Starts to listen. Messages are refused until [run]. */
+    /** Starts to listen. Messages are refused until [run]. Throws `IOException` if the address cannot be used. */
     fun listen() {
+        folder.tornTails.forEach {
+            log.warn("cut a torn tail", "file" to it.file, "offset" to it.offset, "bytes" to it.bytes)
+        }
         meters.observe(this, folder, replies)
-        server.start()
+        startServer()
         log.info("listening", "replica" to tables.replica, "port" to server.port())
     }
 
+    /** Waits for all other founders; see [FolderCheck]. */
+    fun checkFolder(peers: Map<ReplicaId, String>): List<FolderRecord>? {
+        log.info("waiting until every other founder has answered", "founders" to known.get().founders)
+        return FolderCheck(client, known.get(), peers).run()
+    }
+
+    /** Keeps which folders the other founders have, and tells them from now on. */
+    fun remember(records: List<FolderRecord>) {
+        folder.identity.append(records)
+        known.updateAndGet { it.with(records) }
+    }
+
     fun run() {
         job = startControlThread("control", loop, ::failed)
         polls.start()
@@ -115,6 +134,14 @@
         folder.close()
     }
 
+    private fun startServer() {
+        try {
+            server.start()
+        } catch (e: RuntimeException) { // the server wraps the exception of the socket
+            throw e.cause as? IOException ?: e
+        }
+    }
+
     private fun failed(cause: Throwable) {
         log.error("the control thread failed", cause)
         ended.completeExceptionally(cause)
--- a/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/Views.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.transport.api.ChargeView
 import org.ibismoor.transport.api.ControlStatus
 import org.ibismoor.transport.api.ControlUrl
+import org.ibismoor.transport.api.DomainLedgerCounts
 import org.ibismoor.transport.api.LedgerView
 import org.ibismoor.transport.api.ShareView
 
@@ -32,6 +33,18 @@
         inForceAtMillis = tables.membership.inForce?.at?.epochMillis,
         routers = tables.membership.routers.values.map { it.row }.sortedBy { it.id },
         upstreams = tables.membership.upstreams.values.mapNotNull { it.report }.sortedBy { it.upstream },
+        leavingUpstreams = tables.membership.upstreams.filterValues { it.isLeaving }.keys.sorted(),
+        domainLedger = countsOf(tables),
+    )
+}
+
+private fun countsOf(tables: ControlTables): DomainLedgerCounts {
+    val durable = tables.ledger.durable
+    return DomainLedgerCounts(
+        sessions = tables.ledger.sessions.size,
+        reservations = durable.reservations.size,
+        claims = durable.claims.size,
+        unmerged = durable.lastCharge - durable.mergedCharge,
     )
 }
 
--- a/control/src/test/kotlin/org/ibismoor/control/ControlGroup.kt
+++ b/control/src/test/kotlin/org/ibismoor/control/ControlGroup.kt
@@ -61,7 +61,8 @@
 
     fun child(node: Int): ControlChild = children.getValue(node)
 
-    fun status(node: Int): ControlStatus? = answer(client.getJson<ControlStatus>(url(node) + InternalPaths.STATUS).get())
+    fun status(node: Int): ControlStatus? =
+        answer(client.getJson<ControlStatus>(url(node) + InternalPaths.STATUS).get())
 
     fun ledger(node: Int): LedgerView? = answer(client.getJson<LedgerView>(url(node) + InternalPaths.LEDGER).get())
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
@@ -3,7 +3,9 @@
  */
 package org.ibismoor.fleet.api
 
+import org.ibismoor.consensus.api.CommandContent
 import org.ibismoor.consensus.api.ConsensusRecord
+import org.ibismoor.consensus.api.ConsensusRestored
 import org.ibismoor.consensus.api.restoreConsensus
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.TickMachine
@@ -42,9 +44,16 @@
         shares = ShareTables(),
         membership = initialMembershipTables(replica, settings.membership, now),
         appliedIndex = replayed.index,
+        growth = growthOf(restored, logs.ledger.size),
     )
 }
 
+/** Without the growth of earlier runs, a replica that restarts often would never write a snapshot. */
+private fun growthOf(restored: ConsensusRestored, ledgerRecords: Int): LogGrowth {
+    val commands = restored.committed.map { it.content }.filterIsInstance<CommandContent>()
+    return LogGrowth(commands.size, commands.sumOf { it.payload.length.toLong() }, ledgerRecords)
+}
+
 /** The circumstances of one start: its [time] and the [seed] of the random choices that follow. */
 data class ControlStart(val time: Timestamp, val seed: Long)
 
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ControlMachine.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ControlMachine.kt
@@ -33,6 +33,7 @@
             PartSystem(consensus),
             LeadershipSystem(),
             reachability,
+            PlacementSystem(),
             ApplySystem(codec),
             PartSystem(ledger),
             PartSystem(shares),
--- a/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/internal/ProposalSystem.kt
@@ -10,7 +10,6 @@
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.TickSystem
-import org.ibismoor.fleet.api.AppendedCommand
 import org.ibismoor.fleet.api.CommandAnswer
 import org.ibismoor.fleet.api.CommandReceived
 import org.ibismoor.fleet.api.CommandRefused
@@ -39,7 +38,6 @@
                 ControlStep(propose(control, PendingCommand(ReplicaOrigin(message.reply), message.command)))
             is CommandProposed -> ControlStep(propose(control, message.pending))
             is CommandSubmitted -> submit(control, message.pending)
-            is ProposalPlaced -> ControlStep(placed(control, message))
             is ProposalFailed -> ControlStep(failed(control, message))
             is ForwardAnswered -> ControlStep(forwarded(control, message))
             is LeadershipMoved -> ControlStep(if (message.isLeading) control else abandon(control))
@@ -80,17 +78,6 @@
         )
     }
 
-    private fun placed(control: ControlTables, message: ProposalPlaced): ControlTables {
-        val proposals = control.proposals
-        val pending = proposals.proposed[message.proposal] ?: return control
-        return control.copy(
-            proposals = proposals.copy(
-                proposed = proposals.proposed.remove(message.proposal),
-                appended = proposals.appended.put(message.index, AppendedCommand(pending, message.term)),
-            ),
-        )
-    }
-
     private fun failed(control: ControlTables, message: ProposalFailed): ControlTables {
         val proposals = control.proposals
         val pending = proposals.proposed[message.proposal] ?: return control
--- a/operator/src/main/kotlin/org/ibismoor/operator/internal/LedgerCommand.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/LedgerCommand.kt
@@ -10,12 +10,15 @@
 import org.ibismoor.runtime.api.reportFindings
 import org.ibismoor.runtime.api.requiredSetting
 import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.runtime.api.unknownFindings
 import org.ibismoor.transport.api.BudgetView
 import org.ibismoor.transport.api.ChargeView
 import org.ibismoor.transport.api.LedgerView
+import org.ibismoor.transport.api.ShareView
 import org.ibismoor.transport.api.encodeJson
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import picocli.CommandLine.Unmatched
 import java.time.Instant
 import java.util.concurrent.Callable
 
@@ -35,10 +38,13 @@
     @Option(names = ["--json"], description = ["Print the JSON document of the first process that answers."])
     private var isJson: Boolean = false
 
+    @Unmatched
+    private var unknown: List<String> = ArrayList()
+
     override fun call(): Int {
         val urls = requiredSetting("--control", control, SettingTypes.listOf(SettingTypes.baseUrl))
         val name = optionalSetting("--organisation", organisation, SettingTypes.name)
-        val findings = settingFindings(urls, name)
+        val findings = settingFindings(urls, name) + unknownFindings(unknown)
         return if (findings.isEmpty()) show(urls.value, name.valueOrNull) else reportFindings(findings)
     }
 
@@ -63,7 +69,7 @@
     val totals = charges.groupBy { it.charge.key.organisation }.toSortedMap().map { (organisation, rows) ->
         "total of $organisation: ${rows.sumOf { it.charge.amount }} in ${rows.size} charges"
     }
-    return (lines + totals + budgets.map(::line)).joinToString("\n")
+    return (lines + totals + budgets.flatMap(::budgetLines)).joinToString("\n")
 }
 
 private fun line(view: ChargeView): String =
@@ -73,6 +79,14 @@
         "charge $time ${key.organisation} ${key.key} $budget $amount ${outcome.text} by $replica, $state"
     }
 
+private fun budgetLines(view: BudgetView): List<String> = listOf(line(view)) + view.shares.map { line(view, it) }
+
+private fun line(view: BudgetView, share: ShareView): String =
+    with(share.share) {
+        "share of ${share.replica} in ${view.budget}: issued $issued, returned $returned, " +
+            "spent ${spent - voided}, left $remaining"
+    }
+
 private fun line(view: BudgetView): String =
     "budget ${view.budget} of ${view.organisation ?: "nobody"}: granted ${view.granted}, " +
         "spent ${view.spent - view.voided}, written off ${view.writtenOff}"
--- a/operator/src/main/kotlin/org/ibismoor/operator/internal/PublishCommand.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/PublishCommand.kt
@@ -23,9 +23,11 @@
 import org.ibismoor.runtime.api.reportFindings
 import org.ibismoor.runtime.api.requiredSetting
 import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.runtime.api.unknownFindings
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
+import picocli.CommandLine.Unmatched
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.TimeUnit
@@ -55,13 +57,17 @@
     @Parameters(paramLabel = "folder", arity = "1..*", description = ["Folders that hold *.yaml files."])
     private var folders: List<Path> = emptyList()
 
+    @Unmatched
+    private var unknown: List<String> = ArrayList()
+
     override fun call(): Int {
         val wanted = requiredSetting("--number", number, SettingTypes.wholeNumber(1L..Long.MAX_VALUE))
         val urls = requiredSetting("--control", control, SettingTypes.listOf(SettingTypes.baseUrl))
         val wait = optionalSetting("--wait-seconds", waitSeconds, SettingTypes.wholeNumber(0L..MAXIMUM_WAIT_SECONDS))
         val isCheck = optionalSetting("--check-only", checkOnly, SettingTypes.flag)
         val isCheckOnly = isCheck.valueOrNull == true
-        val findings = settingFindings(isCheck) + if (isCheckOnly) emptyList() else settingFindings(wanted, urls, wait)
+        val always = settingFindings(isCheck) + unknownFindings(unknown)
+        val findings = always + if (isCheckOnly) emptyList() else settingFindings(wanted, urls, wait)
         return when {
             findings.isNotEmpty() -> reportFindings(findings)
             isCheckOnly -> withSources { _ -> ExitCode.SUCCESS }
--- a/operator/src/main/kotlin/org/ibismoor/operator/internal/TryCommand.kt
+++ b/operator/src/main/kotlin/org/ibismoor/operator/internal/TryCommand.kt
@@ -11,10 +11,12 @@
 import org.ibismoor.runtime.api.reportFindings
 import org.ibismoor.runtime.api.requiredSetting
 import org.ibismoor.runtime.api.settingFindings
+import org.ibismoor.runtime.api.unknownFindings
 import org.ibismoor.transport.api.Decoded
 import org.ibismoor.transport.api.decodeJson
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import picocli.CommandLine.Unmatched
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
@@ -53,13 +55,16 @@
 
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
+    @Unmatched
+    private var unknown: List<String> = ArrayList()
+
     override fun call(): Int {
         val first = requiredSetting("--router", router, SettingTypes.baseUrl)
         val own = requiredSetting("--domain", domain, SettingTypes.failureDomain)
         val secret = requiredSetting("--key", key, SettingTypes.text)
         val name = requiredSetting("--model", model, SettingTypes.text)
         val path = requiredSetting("--service-path", servicePath, SettingTypes.text)
-        val findings = settingFindings(first, own, secret, name, path)
+        val findings = settingFindings(first, own, secret, name, path) + unknownFindings(unknown)
         return if (findings.isEmpty()) tryFleet(first.value, own.value.text) else reportFindings(findings)
     }
 
--- a/runtime/src/main/kotlin/org/ibismoor/runtime/api/Setting.kt
+++ b/runtime/src/main/kotlin/org/ibismoor/runtime/api/Setting.kt
@@ -32,6 +32,12 @@
 /** All findings of [settings], in the order given. */
 fun settingFindings(vararg settings: Setting<*>): List<Finding> = settings.mapNotNull { it.finding }
 
+/** A finding for each flag that a program does not know. [unmatched] is what the command line parser did not match. */
+fun unknownFindings(unmatched: List<String>): List<Finding> {
+    val flags = unmatched.filter { it.startsWith('-') }.ifEmpty { unmatched }
+    return flags.map { Finding(Place(it), "the setting is unknown", "remove it, or see --help for the settings") }
+}
+
 /** The environment variable that stands for [flag] when the flag is not given. */
 fun environmentNameOf(flag: String): String = "IBISMOOR_" + flag.trimStart('-').replace('-', '_').uppercase()
 
--- a/transport/src/main/kotlin/org/ibismoor/transport/api/ControlStatus.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/ControlStatus.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.Serializable
 import org.ibismoor.consensus.api.ConsensusMember
 import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.UpstreamId
 import org.ibismoor.membership.api.RouterRow
 import org.ibismoor.membership.api.UpstreamReport
 
@@ -28,6 +29,20 @@
     @SerialName("in_force_at_ms") val inForceAtMillis: Long?,
     val routers: List<RouterRow>,
     val upstreams: List<UpstreamReport>,
+    /** Upstreams that leave, whichever source said so first. */
+    @SerialName("leaving_upstreams") val leavingUpstreams: List<UpstreamId>,
+    @SerialName("domain_ledger") val domainLedger: DomainLedgerCounts,
+)
+
+/** What the ledger of the answering process's own domain holds, in rows. */
+@Serializable
+data class DomainLedgerCounts(
+    /** Router sessions that hold the lease of their reservations. */
+    val sessions: Int,
+    val reservations: Int,
+    val claims: Int,
+    /** Charges that are not merged at the quorum yet. */
+    val unmerged: Long,
 )
 
 /** Where a control replica is reached. */
