Add a load program and a script that measures a fleet on loopback

Change: bin/ibismoor-bench-load sends streamed chat completions in an open loop through routers and, in the same run, to the engines behind them. bin/bench-load starts a fleet of separate processes and runs it.

--- /dev/null
+++ b/bench/src/main/kotlin/org/ibismoor/bench/load/internal/LoadRun.kt
@@ -0,0 +1,62 @@
+/**
+ * One run: a control thread that decides when requests start, and traffic threads that carry them.
+ */
+package org.ibismoor.bench.load.internal
+
+import kotlinx.collections.immutable.toPersistentHashMap
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.runtime.api.ControlLoop
+import org.ibismoor.runtime.api.createClock
+import org.ibismoor.runtime.api.startControlThread
+import org.ibismoor.transport.api.ClientSettings
+import org.ibismoor.transport.api.createOkHttpClient
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+
+private const val READ_MILLIS = 60_000L
+private const val MAXIMUM_CALLS = 2_000
+
+internal class LoadRun(private val settings: LoadSettings) {
+    private val clock = createClock()
+    private val times = LoadPath.entries.associateWith { PathTimes() }
+    private val client =
+        createOkHttpClient(ClientSettings(readMillis = READ_MILLIS, callMillis = 0, maximumCalls = MAXIMUM_CALLS))
+    private val caller = StreamCaller(settings, client, times)
+    private val traffic = Executors.newCachedThreadPool { Thread(it, "traffic").apply { isDaemon = true } }
+    private val readings = ConcurrentHashMap<LoadPhase, Map<String, ProcessReading>>()
+    private val ended = CompletableFuture<Unit>()
+    private val loop = ControlLoop(LoadMachine(), initial(), clock) { _, effects -> effects.forEach(::perform) }
+
+    /** Waits until the run is over. */
+    fun await(): LoadResult {
+        startControlThread("control", loop) { ended.completeExceptionally(it) }
+        ended.get()
+        loop.close()
+        traffic.shutdownNow()
+        return LoadResult(settings, loop.tables, times, readings)
+    }
+
+    private fun initial(): LoadTables {
+        val now = clock.now()
+        val arrivals = settings.plans.filterValues { it.rate > 0 }.mapValues { ArrivalRow(now, it.value.rate) }
+        val from = now + settings.warmUpMillis
+        return LoadTables(arrivals.toPersistentHashMap(), from, endOf(from))
+    }
+
+    private fun endOf(from: Timestamp): Timestamp = from + settings.measuredMillis
+
+    private fun perform(effect: LoadEffect) {
+        when (effect) {
+            is LoadEffect.StartRequest -> {
+                val dueNanos = System.nanoTime()
+                traffic.execute { loop.post(caller.call(effect, dueNanos)) }
+            }
+            is LoadEffect.ReadProcesses -> readings[effect.phase] = read()
+            LoadEffect.EndRun -> ended.complete(Unit)
+        }
+    }
+
+    private fun read(): Map<String, ProcessReading> =
+        settings.processes.mapNotNull { (name, id) -> ProcessReading.of(id)?.let { name to it } }.toMap()
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/ibismoor/bench/load/internal/RequestEnd.kt
@@ -0,0 +1,12 @@
+/**
+ * Message that a request has ended. [tokens] counts the chunks with content that arrived.
+ */
+package org.ibismoor.bench.load.internal
+
+internal data class RequestEnd(val number: Long, val code: String, val tokens: Long) {
+    companion object {
+        const val WHOLE = "whole"
+        const val INCOMPLETE = "incomplete"
+        const val UNREACHABLE = "unreachable"
+    }
+}
