Generate random schedules of faults for the scenarios

Cause: the scenarios cover only the faults that somebody wrote down. Change: fakes get torn and full disks, isolated VMs, drifting clocks, changed links and leaving upstreams; a seed draws a schedule of them with calls; the checks look at configurations on each process and at work for leaving upstreams; the run keeps a trace.

--- a/scenario/src/test/kotlin/org/ibismoor/scenario/ExampleFleet.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
@@ -1,4 +1,7 @@
-package org.ibismoor.scenario
+/**
+ * A small fleet and its calls for scenarios. Amounts are in budget tokens.
+ */
+package org.ibismoor.scenario.api
 
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
@@ -20,8 +23,6 @@
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
-import org.ibismoor.scenario.api.ChatCall
-import org.ibismoor.scenario.api.ServiceCall
 
 private val assistants = UpstreamGroupId("assistants")
 private val bookingDesk = UpstreamGroupId("booking-desk")
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ProcessAction.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ProcessAction.kt
@@ -7,12 +7,18 @@
     /** The process dies. A control process keeps its synced records. */
     KILL,
 
-    /** The process starts again: a control process from its records, a router with a new session. */
+    /** A dead process starts again: a control process from its records, a router with a new session. */
     START,
 
     /** A control process dies and its disk is lost; it starts empty under the next epoch. */
     LOSE_DISK,
 
+    /** A control process dies in its next write to the disk, of which only a first part is there afterwards. */
+    TEAR_WRITE,
+
+    /** The disk of a control process is full: it dies in its next write, of which nothing is on the disk. */
+    FILL_DISK,
+
     /** The process stands still. Messages to it wait. */
     FREEZE,
 
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioBuilder.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioBuilder.kt
@@ -30,6 +30,9 @@
     /** How messages travel between failure domains. */
     var network: NetworkSettings = NetworkSettings()
 
+    /** By how many parts in a thousand the clock of a named process is fast. */
+    var drifts: Map<String, Int> = emptyMap()
+
     /** How long the scenario runs. */
     var duration: Duration = Duration.ZERO
 
@@ -56,5 +59,6 @@
             network = network,
             steps = steps.sortedBy { it.atMillis },
             durationMillis = duration.inWholeMilliseconds,
+            drifts = drifts,
         )
 }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioResult.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioResult.kt
@@ -13,6 +13,7 @@
     val calls: List<CallResult>,
     val budgets: Map<BudgetId, BudgetResult>,
     val publications: List<PublicationResult>,
+    val trace: List<TraceLine>,
 ) {
     val answered: List<CallResult> get() = calls.filter { it.isAnswered }
 
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioStep.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioStep.kt
@@ -6,6 +6,7 @@
 import org.ibismoor.core.api.BudgetId
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.GrantId
+import org.ibismoor.core.api.UpstreamId
 
 sealed interface ScenarioStep
 
@@ -26,7 +27,16 @@
 /** No message passes from [from] to [to]. */
 data class CutStep(val from: FailureDomainId, val to: FailureDomainId) : ScenarioStep
 
-/** All cuts end. */
+/** From now on the network behaves as [settings] say. */
+data class NetworkStep(val settings: NetworkSettings) : ScenarioStep
+
+/** No message passes to or from the VM of the process named [process]: a failure domain or a router's identifier. */
+data class IsolateStep(val process: String) : ScenarioStep
+
+/** The platform lists [upstream] as leaving. */
+data class LeaveStep(val upstream: UpstreamId) : ScenarioStep
+
+/** All cuts and isolations end. */
 data object HealStep : ScenarioStep
 
 /** Something happens to the control process of [domain]. */
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/StepBuilder.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/StepBuilder.kt
@@ -6,6 +6,7 @@
 import org.ibismoor.core.api.BudgetId
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.GrantId
+import org.ibismoor.core.api.UpstreamId
 
 class StepBuilder internal constructor(private val domains: List<String>) {
     internal val steps = mutableListOf<ScenarioStep>()
@@ -41,7 +42,22 @@
         steps += CutStep(FailureDomainId(from), FailureDomainId(to))
     }
 
-    /** Ends all cuts. */
+    /** Isolates the VM of one process: a control process by its domain's name, a router by its identifier. */
+    fun isolateVm(process: String) {
+        steps += IsolateStep(process)
+    }
+
+    /** Changes how messages travel between failure domains. */
+    fun network(settings: NetworkSettings) {
+        steps += NetworkStep(settings)
+    }
+
+    /** Lists [upstream] as leaving at the platform. */
+    fun leave(upstream: String) {
+        steps += LeaveStep(UpstreamId(upstream))
+    }
+
+    /** Ends all cuts and isolations. */
     fun heal() {
         steps += HealStep
     }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
@@ -7,6 +7,7 @@
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.fleet.api.CommandUnknown
 import org.ibismoor.fleet.api.ForwardAnswered
+import org.ibismoor.fleet.api.PlatformAnswered
 import org.ibismoor.fleet.api.RouterBeat
 import org.ibismoor.membership.api.Heartbeat
 import org.ibismoor.membership.api.RouterRow
@@ -19,11 +20,13 @@
 import org.ibismoor.routing.api.ReportsReceived
 
 internal const val BEAT_MILLIS = 1_000L
+private const val PLATFORM_MILLIS = 1_000L
 
 internal class DeliverySystem {
     fun handle(world: World, event: WorldEvent): World =
         when (event) {
             is ToReplica -> toReplica(world, event)
+            is PlatformDue -> readPlatform(world)
             is ToRouter -> toRouter(world, event)
             is BeatDue -> beat(world, event.router, event.session)
             is BeatAnswered -> beatAnswered(world, event)
@@ -38,6 +41,14 @@
         return world.copy(replicas = world.replicas.put(event.replica.domain, next))
     }
 
+    /** Control processes that are isolated cannot read the list. */
+    private fun readPlatform(world: World): World {
+        val next = world.after(PLATFORM_MILLIS, PlatformDue)
+        val listed = world.leaving.keys.map { world.declared.upstreams.getValue(it).baseUrl }.toSet()
+        val readers = world.replicas.values.filter { it.replica.domain.text !in world.isolated }
+        return readers.fold(next) { state, host -> toReplica(state, ToReplica(host.replica, PlatformAnswered(listed))) }
+    }
+
     private fun toRouter(world: World, event: ToRouter): World {
         val host = running(world, event.router, event.session) ?: return world
         val next = host.copy(waiting = host.waiting.add(event.message))
@@ -50,9 +61,9 @@
         if (host.isFrozen) return next
         val replica = world.replicas.getValue(host.domain).replica
         val reply = next.nextNumber
-        val row = BeatReply(id, session, host.domain)
+        val row = BeatReply(id, session)
         return next.copy(nextNumber = reply + 1, replies = next.replies.put(reply, row))
-            .send(host.domain, host.domain, ToReplica(replica, RouterBeat(reply, heartbeat(host))))
+            .send(host.endpoint, world.replicas.getValue(host.domain).endpoint, ToReplica(replica, RouterBeat(reply, heartbeat(host))))
     }
 
     private fun heartbeat(host: RouterHost): Heartbeat =
--- /dev/null
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/FaultKind.kt
@@ -0,0 +1,12 @@
+/**
+ * One kind of fault that a random schedule can hold.
+ */
+package org.ibismoor.scenario.internal
+
+import org.ibismoor.scenario.api.ScenarioBuilder
+import kotlin.time.Duration
+
+internal fun interface FaultKind {
+    /** Adds a fault that starts at [start] and ends at [end]. */
+    fun add(builder: ScenarioBuilder, draw: Draw, start: Duration, end: Duration)
+}
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -18,6 +18,7 @@
 import org.ibismoor.membership.api.RouterView
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingTables
+import org.ibismoor.scenario.api.ProcessAction
 
 /** A control process with its disk. */
 internal data class ReplicaHost(
@@ -27,7 +28,12 @@
     val ledgerLog: PersistentList<DomainRecord> = persistentListOf(),
     val isFrozen: Boolean = false,
     val waiting: PersistentList<ControlMessage> = persistentListOf(),
+    val clock: HostClock = HostClock(),
+    val diskFault: ProcessAction? = null,
 ) {
+    val endpoint: Endpoint get() = Endpoint(replica.domain, replica.domain.text)
+
+
     /** Charges on the disk of this process. */
     val charges: List<ChargeRow> get() = ledgerLog.filterIsInstance<ChargeRecord>().map { it.charge }
 }
@@ -43,6 +49,10 @@
     val isDraining: Boolean = false,
     val isFrozen: Boolean = false,
     val waiting: PersistentList<RoutingMessage> = persistentListOf(),
+    val clock: HostClock = HostClock(),
 ) {
+    val endpoint: Endpoint get() = Endpoint(domain, id.text)
+
+
     val session: SessionId get() = SessionId("$id-$starts")
 }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Observations.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Observations.kt
@@ -10,7 +10,10 @@
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.core.api.BudgetId
+import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.ledger.api.Applied
 import org.ibismoor.ledger.api.FleetResult
 
 internal data class Observations(
@@ -21,6 +24,9 @@
     val publications: PersistentList<PublicationSeen> = persistentListOf(),
     val inForceAt: PersistentMap<ConfigurationNumber, Timestamp> = persistentHashMapOf(),
     val violations: PersistentList<String> = persistentListOf(),
+    val granted: PersistentMap<BudgetId, Long> = persistentHashMapOf(),
+    val voided: PersistentMap<BudgetId, Long> = persistentHashMapOf(),
+    val applied: PersistentMap<ReplicaId, ConfigurationNumber> = persistentHashMapOf(),
 ) {
     /** An upstream ran the request with [key] for [stream]. */
     fun executed(key: String, stream: Long, isIdempotent: Boolean): Observations {
@@ -43,8 +49,12 @@
     /** A caller got the whole answer to the request with [key]. */
     fun answered(key: String): Observations = copy(answers = answers.put(key, (answers[key] ?: 0) + 1))
 
-    fun published(number: ConfigurationNumber, result: FleetResult, at: Timestamp): Observations =
-        copy(publications = publications.add(PublicationSeen(number, result, at)))
+    fun published(row: PublicationRow, result: FleetResult, at: Timestamp): Observations {
+        val seen = PublicationSeen(row.configuration.number, row.digest, result, at)
+        val other = publications.any { it.number == seen.number && it.digest != seen.digest && it.result == Applied }
+        val next = copy(publications = publications.add(seen))
+        return if (other && result == Applied) next.violated("number ${seen.number} was accepted twice") else next
+    }
 
     fun inForce(number: ConfigurationNumber, at: Timestamp): Observations =
         if (number in inForceAt) this else copy(inForceAt = inForceAt.put(number, at))
@@ -54,4 +64,9 @@
 }
 
 /** The answer that an operator got to a publication. */
-internal data class PublicationSeen(val number: ConfigurationNumber, val result: FleetResult, val at: Timestamp)
+internal data class PublicationSeen(
+    val number: ConfigurationNumber,
+    val digest: String,
+    val result: FleetResult,
+    val at: Timestamp,
+)
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
@@ -24,6 +24,9 @@
 /** A message reaches a run of a router. */
 internal data class ToRouter(val router: RouterId, val session: SessionId, val message: RoutingMessage) : WorldEvent
 
+/** The control processes read the platform's list of leaving VMs. */
+internal data object PlatformDue : WorldEvent
+
 /** A router's heartbeat is due. */
 internal data class BeatDue(val router: RouterId, val session: SessionId) : WorldEvent
 
