--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
@@ -63,4 +63,5 @@
 fun chat(budget: String, key: String) = ChatCall(budget, key, "assistant", 40, 60, 60)
 
 /** An escort confirmation, which must run at most once. */
-fun booking(budget: String, key: String) = ServiceCall(budget, key, "bookings", "POST", "/confirm", isIdempotent = false)
+fun booking(budget: String, key: String) =
+    ServiceCall(budget, key, "bookings", "POST", "/confirm", isIdempotent = false)
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/RandomScenario.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/RandomScenario.kt
@@ -1,5 +1,5 @@
 /**
- * Scenarios with random faults and calls. The same seed gives the same scenario. All faults end after 45 s of 100 s,
+ * Scenarios with random faults and calls. The same seed gives the same scenario. All faults end after 45 s of 75 s,
  * so that the guarantees that need a connected fleet can be checked at the end.
  */
 package org.ibismoor.scenario.api
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/Scenario.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/Scenario.kt
@@ -1,7 +1,7 @@
 /**
  * A rehearsal: a small fleet, what happens to it at which time, and the outcome that is expected. The same scenario
- * and seed give the same trace. Times are in milliseconds from the start; amounts are in budget tokens. The clock of a process
- * named in `drifts` is fast by that many parts in a thousand; a control process has the name of its domain.
+ * and seed give the same trace. Times are in milliseconds from the start; amounts are in budget tokens. The clock of
+ * a process named in `drifts` is fast by that many parts in a thousand; a control process has the name of its domain.
  */
 package org.ibismoor.scenario.api
 
@@ -20,6 +20,7 @@
     val steps: List<TimedStep>,
     val durationMillis: Long,
     val drifts: Map<String, Int> = emptyMap(),
+    val defects: Set<Defect> = emptySet(),
 )
 
 /** One way delay between failure domains, and how many messages in a thousand are lost or doubled. */
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioBuilder.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ScenarioBuilder.kt
@@ -33,6 +33,9 @@
     /** By how many parts in a thousand the clock of a named process is fast. */
     var drifts: Map<String, Int> = emptyMap()
 
+    /** Defects of the processes, to show that the checks find them. */
+    var defects: Set<Defect> = emptySet()
+
     /** How long the scenario runs. */
     var duration: Duration = Duration.ZERO
 
@@ -60,5 +63,6 @@
             steps = steps.sortedBy { it.atMillis },
             durationMillis = duration.inWholeMilliseconds,
             drifts = drifts,
+            defects = defects,
         )
 }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CheckSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CheckSystem.kt
@@ -63,11 +63,13 @@
         val spent = charges(world).groupBy { it.budget }.mapValues { (_, rows) -> rows.sumOf { it.amount } }
         val over = spent.mapValues { (id, amount) -> amount - (world.observed.voided[id] ?: 0) }
             .filter { (id, amount) -> amount > (world.observed.granted[id] ?: 0) }
-        val violations = over.map { (id, amount) -> "budget $id is overspent: $amount of ${world.observed.granted[id]}" }
+        val granted = world.observed.granted
+        val violations = over.map { (id, amount) -> "budget $id is overspent: $amount of ${granted[id] ?: 0}" }
         return world.copy(observed = violations.fold(world.observed, Observations::violated))
     }
 
-    private fun charges(world: World): List<ChargeRow> = world.replicas.values.flatMap { it.charges } + world.lostCharges
+    private fun charges(world: World): List<ChargeRow> =
+        world.replicas.values.flatMap { it.charges } + world.lostCharges
 
     /** Each answered request has exactly one charge at the quorum. */
     fun atEnd(world: World): World {
@@ -91,7 +93,8 @@
 
     /** In the end each process that runs has the last accepted configuration in force. */
     private fun behind(world: World): List<String> {
-        val accepted = world.observed.publications.filter { it.result == Applied && it.at + IN_FORCE_MILLIS < world.now }
+        val accepted = world.observed.publications.filter { it.result == Applied }
+            .filter { it.at + IN_FORCE_MILLIS < world.now }
         val last = accepted.maxOfOrNull { it.number } ?: return emptyList()
         val routers = world.routers.values.filter { it.tables != null && !it.isFrozen && !it.isDraining }
             .map { it.id.text to it.view.configuration.number }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
@@ -3,6 +3,8 @@
  */
 package org.ibismoor.scenario.internal
 
+import org.ibismoor.configuration.api.ConfigurationNumber
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.fleet.api.CommandUnknown
@@ -12,14 +14,19 @@
 import org.ibismoor.membership.api.Heartbeat
 import org.ibismoor.membership.api.RouterRow
 import org.ibismoor.membership.api.RouterState
+import org.ibismoor.membership.api.RouterView
 import org.ibismoor.membership.api.with
 import org.ibismoor.routing.api.ConfigurationChanged
 import org.ibismoor.routing.api.ControlHeard
 import org.ibismoor.routing.api.LedgerAuthority
 import org.ibismoor.routing.api.LedgerFailed
 import org.ibismoor.routing.api.ReportsReceived
+import org.ibismoor.scenario.api.Defect
 
 internal const val BEAT_MILLIS = 1_000L
+/** A domain that was not heard for this long is replaced by the next one. */
+private const val SILENCE_MILLIS = 2_500L
+
 private const val PLATFORM_MILLIS = 1_000L
 
 internal class DeliverySystem {
@@ -45,10 +52,13 @@
     private fun readPlatform(world: World): World {
         val next = world.after(PLATFORM_MILLIS, PlatformDue)
         val listed = world.leaving.keys.map { world.declared.upstreams.getValue(it).baseUrl }.toSet()
-        val readers = world.replicas.values.filter { it.replica.domain.text !in world.isolated }
+        val readers = world.replicas.values.filter { canReadPlatform(world, it) }
         return readers.fold(next) { state, host -> toReplica(state, ToReplica(host.replica, PlatformAnswered(listed))) }
     }
 
+    private fun canReadPlatform(world: World, host: ReplicaHost): Boolean =
+        Defect.UNREAD_PLATFORM !in world.defects && host.replica.domain.text !in world.isolated
+
     private fun toRouter(world: World, event: ToRouter): World {
         val host = running(world, event.router, event.session) ?: return world
         val next = host.copy(waiting = host.waiting.add(event.message))
@@ -59,14 +69,31 @@
         val host = running(world, id, session) ?: return world
         val next = world.after(BEAT_MILLIS, BeatDue(id, session))
         if (host.isFrozen) return next
-        val replica = world.replicas.getValue(host.domain).replica
-        val reply = next.nextNumber
-        val row = BeatReply(id, session)
-        return next.copy(nextNumber = reply + 1, replies = next.replies.put(reply, row))
-            .send(host.endpoint, world.replicas.getValue(host.domain).endpoint, ToReplica(replica, RouterBeat(reply, heartbeat(host))))
+        return targets(world, host).fold(next) { state, domain -> beatTo(state, host, domain) }
+    }
+
+    private fun beatTo(world: World, host: RouterHost, domain: FailureDomainId): World {
+        val target = world.replicas.getValue(domain)
+        val reply = world.nextNumber
+        val message = RouterBeat(reply, heartbeat(host, host.beats[domain] ?: BeatRow()))
+        return world.copy(
+            nextNumber = reply + 1,
+            replies = world.replies.put(reply, BeatReply(host.id, host.session, domain)),
+        ).send(host.endpoint, target.endpoint, ToReplica(target.replica, message))
+    }
+
+    /** As the router process does: the own domain, the holders of its reservations, and others while it is silent. */
+    private fun targets(world: World, host: RouterHost): Set<FailureDomainId> {
+        val domains = listOf(host.domain) + (world.replicas.keys - host.domain).sorted()
+        val primary = domains.firstOrNull { isHeard(world, host, it) } ?: domains.last()
+        val holders = host.tables?.authorities.orEmpty().filterValues { it.holders.isNotEmpty() }.keys
+        return domains.take(domains.indexOf(primary) + 1).toSet() + holders.sorted()
     }
 
-    private fun heartbeat(host: RouterHost): Heartbeat =
+    private fun isHeard(world: World, host: RouterHost, domain: FailureDomainId): Boolean =
+        host.beats[domain]?.heardAt?.let { world.now - it < SILENCE_MILLIS } ?: false
+
+    private fun heartbeat(host: RouterHost, row: BeatRow): Heartbeat =
         Heartbeat(
             router = RouterRow(
                 id = host.id,
@@ -77,14 +104,14 @@
                 inFlight = 0,
             ),
             configuration = host.view.configuration.number,
-            routerListVersion = host.view.routerListVersion,
-            reportVersion = host.view.reportVersion,
+            routerListVersion = row.routerListVersion,
+            reportVersion = row.reportVersion,
         )
 
     private fun beatAnswered(world: World, event: BeatAnswered): World {
         val host = running(world, event.router, event.session) ?: return world
         if (host.isFrozen) return world.after(BEAT_MILLIS, event)
-        val view = host.view.with(event.answer)
+        val view = viewAfter(world, host, event)
         val before = host.view.configuration.number
         val number = view.configuration.number
         val observed = when {
@@ -93,11 +120,22 @@
         }
         val changes = if (number == before) emptyList() else listOf(ConfigurationChanged(view.configuration))
         val reports = listOfNotNull(event.answer.reports?.let(::ReportsReceived))
-        val heard = ControlHeard(LedgerAuthority(host.domain))
-        val next = host.copy(view = view, waiting = host.waiting.addAll(changes + reports + heard))
+        val heard = ControlHeard(LedgerAuthority(event.domain))
+        val row = BeatRow(world.now, event.answer.routerListVersion, event.answer.reportVersion)
+        val next = host.copy(
+            view = view,
+            beats = host.beats.put(event.domain, row),
+            waiting = host.waiting.addAll(changes + reports + heard),
+        )
         return world.copy(routers = world.routers.put(host.id, next), observed = observed)
     }
 
+    private fun viewAfter(world: World, host: RouterHost, event: BeatAnswered): RouterView {
+        val isFirst = host.view.configuration.number == ConfigurationNumber.NONE
+        val isStuck = Defect.STUCK_CONFIGURATION in world.defects && !isFirst
+        return if (isStuck) host.view else host.view.with(event.answer)
+    }
+
     private fun running(world: World, id: RouterId, session: SessionId): RouterHost? =
         world.routers.getValue(id).takeIf { it.tables != null && it.session == session }
 
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -4,6 +4,8 @@
 package org.ibismoor.scenario.internal
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.consensus.api.ConsensusRecord
 import org.ibismoor.core.api.FailureDomainId
@@ -46,6 +48,7 @@
     val starts: Int = 0,
     val tables: RoutingTables? = null,
     val view: RouterView = RouterView(),
+    val beats: PersistentMap<FailureDomainId, BeatRow> = persistentHashMapOf(),
     val isDraining: Boolean = false,
     val isFrozen: Boolean = false,
     val waiting: PersistentList<RoutingMessage> = persistentListOf(),
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ReplicaSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ReplicaSystem.kt
@@ -36,9 +36,11 @@
 import org.ibismoor.fleet.api.SyncConsensus
 import org.ibismoor.fleet.api.SyncLedger
 import org.ibismoor.ledger.api.ChargeRecord
+import org.ibismoor.ledger.api.DomainRecord
 import org.ibismoor.routing.api.ControlHeard
 import org.ibismoor.routing.api.LedgerAnswered
 import org.ibismoor.routing.api.LedgerAuthority
+import org.ibismoor.scenario.api.Defect
 import org.ibismoor.scenario.api.ProcessAction
 import org.ibismoor.scenario.api.TraceKind
 
@@ -98,7 +100,7 @@
         when (effect) {
             is SyncConsensus -> disk(world, domain) { it.copy(consensusLog = it.consensusLog + effect.records) }
             is ReplaceConsensus -> disk(world, domain) { it.copy(consensusLog = effect.records.toPersistentList()) }
-            is SyncLedger -> disk(charged(world, domain, effect), domain) { it.copy(ledgerLog = it.ledgerLog + effect.records) }
+            is SyncLedger -> syncLedger(world, domain, effect)
             is ReplaceLedger -> disk(world, domain) { it.copy(ledgerLog = effect.records.toPersistentList()) }
             is SendConsensus -> send(world, domain, effect.to, ConsensusReceived(self(world, domain), effect.message))
             is SendPeer -> send(world, domain, effect.to, PeerReceived(self(world, domain), effect.message))
@@ -111,6 +113,15 @@
             is ReportInForce -> world.copy(observed = world.observed.inForce(effect.number, world.now))
         }
 
+    private fun syncLedger(world: World, domain: FailureDomainId, effect: SyncLedger): World =
+        disk(charged(world, domain, effect), domain) { it.copy(ledgerLog = it.ledgerLog + synced(world, effect)) }
+
+    private fun synced(world: World, effect: SyncLedger): List<DomainRecord> =
+        when (Defect.UNSYNCED_CHARGES) {
+            in world.defects -> effect.records.filterNot { it is ChargeRecord }
+            else -> effect.records
+        }
+
     private fun charged(world: World, domain: FailureDomainId, effect: SyncLedger): World =
         effect.records.filterIsInstance<ChargeRecord>().fold(world) { state, record ->
             state.traced(TraceKind.DECISION, "$domain charges ${record.charge}")
@@ -160,7 +171,7 @@
         val row = world.replies[effect.reply] as? BeatReply ?: return world
         val router = world.routers.getValue(row.router).endpoint
         return world.copy(replies = world.replies.remove(effect.reply))
-            .send(endpoint(world, domain), router, BeatAnswered(row.router, row.session, effect.answer))
+            .send(endpoint(world, domain), router, BeatAnswered(row.router, row.session, domain, effect.answer))
     }
 
     /** An operator goes to the leader that an answer names, and otherwise tries again after a while. */
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/RouterSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/RouterSystem.kt
@@ -24,6 +24,7 @@
 import org.ibismoor.routing.api.RoutingEffect
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingTables
+import org.ibismoor.scenario.api.Defect
 import org.ibismoor.scenario.api.TraceKind
 
 private const val LEDGER_TIMEOUT_MILLIS = 1_000L
@@ -60,11 +61,17 @@
             is AskLedger -> ask(world, host, effect)
             is Dispatch -> dispatch(world.traced(TraceKind.DECISION, dispatchText(host, effect)), host, effect)
             is Release -> released(world, effect.stream.value)
-            is Refuse -> refused(world.traced(TraceKind.OUTCOME, refusalText(host, effect)), effect)
+            is Refuse -> refuse(world, host, effect)
             is CancelAttempt -> cancelled(world, effect.stream.value)
             is CountEvent, is DrainFinished -> world
         }
 
+    private fun refuse(world: World, host: RouterHost, effect: Refuse): World {
+        val isFalse = Defect.FALSE_NOT_RUN in world.defects
+        val refusal = if (isFalse) effect.copy(outcome = Outcome.NOT_RUN) else effect
+        return refused(world.traced(TraceKind.OUTCOME, refusalText(host, refusal)), refusal)
+    }
+
     private fun dispatchText(host: RouterHost, effect: Dispatch): String =
         "${host.id} sends ${effect.key.key} (stream ${effect.stream.value}) to ${effect.upstream.id}"
 
@@ -92,7 +99,10 @@
             val failure = AttemptFailed(effect.stream, effect.upstream.id, AttemptFailure.NOT_SENT)
             return world.after(CONNECT_FAILURE_MILLIS, ToRouter(host.id, host.session, failure))
         }
-        return world.after(world.network.delayMillis, UpstreamReached(effect, host.session))
+        val event = UpstreamReached(effect, host.session)
+        val reached = world.after(world.network.delayMillis, event)
+        val isDoubled = Defect.DOUBLE_DISPATCH in world.defects
+        return if (isDoubled) reached.after(2 * world.network.delayMillis, event) else reached
     }
 
     private fun cancelled(world: World, stream: Long): World {
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Rows.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Rows.kt
@@ -26,7 +26,7 @@
 ) : ReplyRow
 
 /** A router waits for the answer to its heartbeat. */
-internal data class BeatReply(val router: RouterId, val session: SessionId) : ReplyRow
+internal data class BeatReply(val router: RouterId, val session: SessionId, val domain: FailureDomainId) : ReplyRow
 
 /** A control process waits for the result of a command that it forwarded. */
 internal data class ForwardReply(val domain: FailureDomainId, val forward: Long) : ReplyRow
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/StepSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/StepSystem.kt
@@ -132,7 +132,8 @@
         val host = world.routers.values.first { it.domain == step.domain && it.number == step.number }
         if (step.action == ProcessAction.START && host.tables != null) return world
         val next = when (step.action) {
-            ProcessAction.KILL, ProcessAction.LOSE_DISK, ProcessAction.TEAR_WRITE, ProcessAction.FILL_DISK -> host.copy(tables = null, waiting = persistentListOf())
+            ProcessAction.KILL, ProcessAction.LOSE_DISK, ProcessAction.TEAR_WRITE, ProcessAction.FILL_DISK ->
+                host.copy(tables = null, waiting = persistentListOf())
             ProcessAction.START -> processes.startRouter(host, world.now)
             ProcessAction.FREEZE -> host.copy(isFrozen = true)
             ProcessAction.THAW -> host.copy(isFrozen = false)
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/World.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/World.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamId
 import org.ibismoor.ledger.api.ChargeRow
+import org.ibismoor.scenario.api.Defect
 import org.ibismoor.scenario.api.NetworkSettings
 import org.ibismoor.scenario.api.TraceKind
 import org.ibismoor.scenario.api.TraceLine
@@ -25,6 +26,7 @@
     val random: SeededRandom,
     val network: NetworkSettings,
     val declared: ConfigurationTables,
+    val defects: Set<Defect> = emptySet(),
     val now: Timestamp = Timestamp(0),
     val nextNumber: Long = 1,
     val queue: DueQueue<Long> = DueQueue.empty(),
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
@@ -31,7 +31,12 @@
 internal data class BeatDue(val router: RouterId, val session: SessionId) : WorldEvent
 
 /** The answer to a heartbeat reaches a router. */
-internal data class BeatAnswered(val router: RouterId, val session: SessionId, val answer: HeartbeatAnswer) : WorldEvent
+internal data class BeatAnswered(
+    val router: RouterId,
+    val session: SessionId,
+    val domain: FailureDomainId,
+    val answer: HeartbeatAnswer,
+) : WorldEvent
 
 /** Nobody waits longer for the answer with this number. */
 internal data class ReplyTimedOut(val reply: Long) : WorldEvent
