--- a/scenario/src/test/kotlin/org/ibismoor/scenario/ExampleFleet.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
@@ -1,4 +1,7 @@
-package org.ibismoor.scenario
+/**
+ * A small fleet and its calls for scenarios. Amounts are in budget tokens.
+ */
+package org.ibismoor.scenario.api
 
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
@@ -20,8 +23,6 @@
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
-import org.ibismoor.scenario.api.ChatCall
-import org.ibismoor.scenario.api.ServiceCall
 
 private val assistants = UpstreamGroupId("assistants")
 private val bookingDesk = UpstreamGroupId("booking-desk")
@@ -62,4 +63,5 @@
 fun chat(budget: String, key: String) = ChatCall(budget, key, "assistant", 40, 60, 60)
 
 /** An escort confirmation, which must run at most once. */
-fun booking(budget: String, key: String) = ServiceCall(budget, key, "bookings", "POST", "/confirm", isIdempotent = false)
+fun booking(budget: String, key: String) =
+    ServiceCall(budget, key, "bookings", "POST", "/confirm", isIdempotent = false)
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -4,6 +4,8 @@
 package org.ibismoor.scenario.internal
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.consensus.api.ConsensusRecord
 import org.ibismoor.core.api.FailureDomainId
@@ -18,6 +20,7 @@
 import org.ibismoor.membership.api.RouterView
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingTables
+import org.ibismoor.scenario.api.ProcessAction
 
 /** A control process with its disk. */
 internal data class ReplicaHost(
@@ -27,7 +30,12 @@
     val ledgerLog: PersistentList<DomainRecord> = persistentListOf(),
     val isFrozen: Boolean = false,
     val waiting: PersistentList<ControlMessage> = persistentListOf(),
+    val clock: HostClock = HostClock(),
+    val diskFault: ProcessAction? = null,
 ) {
+    val endpoint: Endpoint get() = Endpoint(replica.domain, replica.domain.text)
+
+
     /** Charges on the disk of this process. */
     val charges: List<ChargeRow> get() = ledgerLog.filterIsInstance<ChargeRecord>().map { it.charge }
 }
@@ -40,9 +48,14 @@
     val starts: Int = 0,
     val tables: RoutingTables? = null,
     val view: RouterView = RouterView(),
+    val beats: PersistentMap<FailureDomainId, BeatRow> = persistentHashMapOf(),
     val isDraining: Boolean = false,
     val isFrozen: Boolean = false,
     val waiting: PersistentList<RoutingMessage> = persistentListOf(),
+    val clock: HostClock = HostClock(),
 ) {
+    val endpoint: Endpoint get() = Endpoint(domain, id.text)
+
+
     val session: SessionId get() = SessionId("$id-$starts")
 }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldEvent.kt
@@ -24,11 +24,19 @@
 /** A message reaches a run of a router. */
 internal data class ToRouter(val router: RouterId, val session: SessionId, val message: RoutingMessage) : WorldEvent
 
+/** The control processes read the platform's list of leaving VMs. */
+internal data object PlatformDue : WorldEvent
+
 /** A router's heartbeat is due. */
 internal data class BeatDue(val router: RouterId, val session: SessionId) : WorldEvent
 
 /** The answer to a heartbeat reaches a router. */
-internal data class BeatAnswered(val router: RouterId, val session: SessionId, val answer: HeartbeatAnswer) : WorldEvent
+internal data class BeatAnswered(
+    val router: RouterId,
+    val session: SessionId,
+    val domain: FailureDomainId,
+    val answer: HeartbeatAnswer,
+) : WorldEvent
 
 /** Nobody waits longer for the answer with this number. */
 internal data class ReplyTimedOut(val reply: Long) : WorldEvent
