Replay demand on budgets through partitions

Cause: the cost of a partition in false refusals and the effect of the sizing policy and the held-back part had not been measured.

--- /dev/null
+++ b/bench/src/main/kotlin/org/ibismoor/bench/budgets/internal/QuorumSystem.kt
@@ -0,0 +1,78 @@
+/**
+ * The fleet state behind the replicated log and the share allocator beside its leader. The log is a fake: a command is
+ * committed in the order of arrival, and only while its sender is not cut off.
+ */
+package org.ibismoor.bench.budgets.internal
+
+import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.Step
+import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.TickSystem
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.ledger.api.AnswerNeeds
+import org.ibismoor.ledger.api.AskReturn
+import org.ibismoor.ledger.api.CommandFinished
+import org.ibismoor.ledger.api.DomainLedgerMessage
+import org.ibismoor.ledger.api.FleetObserved
+import org.ibismoor.ledger.api.IssueTokens
+import org.ibismoor.ledger.api.ReturnRequested
+import org.ibismoor.ledger.api.ShareEffect
+import org.ibismoor.ledger.api.ShareMessage
+import org.ibismoor.ledger.api.SharesExhausted
+import org.ibismoor.ledger.api.applyCommand
+import org.ibismoor.ledger.api.createShareAllocator
+
+private const val ROUND_TRIP = 2L
+
+internal class QuorumSystem(private val plan: ReplayPlan) : TickSystem<ReplayTables, ReplayEvent, Nothing> {
+    private val machine = createShareAllocator(plan.policy)
+    private val deployment = plan.deployment
+
+    override fun run(tables: ReplayTables, tick: Tick<ReplayEvent>): Step<ReplayTables, Nothing> {
+        val handled = tick.messages.fold(tables) { t, event ->
+            when (event) {
+                is CommandCommitted -> if (isLost(t, event.from)) t else commit(t, event, tick)
+                is AllocatorMessageArrived -> if (isLost(t, event.from)) t else allocate(t, listOf(event.message), tick)
+                else -> t
+            }
+        }
+        val isDue = machine.nextDue(handled.shares)?.let { it <= tick.now } ?: false
+        return Step(if (isDue) allocate(handled, emptyList(), tick) else handled)
+    }
+
+    fun nextDue(tables: ReplayTables): Timestamp? = machine.nextDue(tables.shares)
+
+    private fun isLost(tables: ReplayTables, from: ReplicaId) = tables.isCut && from == deployment.minority
+
+    private fun commit(tables: ReplayTables, event: CommandCommitted, tick: Tick<ReplayEvent>): ReplayTables {
+        val step = applyCommand(tables.fleet, event.command)
+        val observed =
+            allocate(tables.copy(fleet = step.tables), listOf(FleetObserved(step.tables, step.changed)), tick)
+        val applied = deployment.replicas.fold(observed) { t, replica ->
+            t.after(tick.now + wayTo(replica), EntriesApplied(replica, step.changed))
+        }
+        return send(applied, event.from, CommandFinished(event.command, step.result), tick.now)
+    }
+
+    private fun allocate(tables: ReplayTables, messages: List<ShareMessage>, tick: Tick<ReplayEvent>): ReplayTables {
+        val step = machine.run(tables.shares, Tick(tick.now, tick.wallTime, messages))
+        return step.effects.fold(tables.copy(shares = step.tables)) { t, effect -> perform(t, effect, tick.now) }
+    }
+
+    private fun perform(tables: ReplayTables, effect: ShareEffect, now: Timestamp): ReplayTables =
+        when (effect) {
+            is IssueTokens ->
+                tables.after(
+                    now + deployment.oneWayMillis * ROUND_TRIP,
+                    CommandCommitted(effect.command, deployment.leader),
+                )
+            is AskReturn ->
+                send(tables, effect.replica, ReturnRequested(effect.budget, effect.amount, effect.urgent), now)
+            is AnswerNeeds -> send(tables, effect.replica, SharesExhausted(effect.exhausted), now)
+        }
+
+    private fun send(tables: ReplayTables, to: ReplicaId, message: DomainLedgerMessage, now: Timestamp): ReplayTables =
+        tables.after(now + wayTo(to), LedgerMessageArrived(to, message, from = deployment.leader))
+
+    private fun wayTo(replica: ReplicaId) = if (replica == deployment.leader) 0 else deployment.oneWayMillis
+}
