--- a/bench/src/main/kotlin/org/ibismoor/bench/budgets/internal/PartitionSystem.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/budgets/internal/PartitionSystem.kt
@@ -25,7 +25,7 @@
         Step(
             tick.messages.fold(tables) { t, event ->
                 when (event) {
-                    CutStarted -> reachable(t.copy(isCut = true), all - plan.deployment.minority, tick.now + SILENCE_MILLIS)
+                    CutStarted -> cut(t, tick.now)
                     CutEnded -> heal(t, tick.now)
                     GrantDue -> t.after(tick.now, CommandCommitted(topUp(t.fleet, plan), plan.deployment.leader))
                     RoutersHeard -> hear(t, tick.now)
@@ -34,6 +34,9 @@
             },
         )
 
+    private fun cut(tables: ReplayTables, now: Timestamp): ReplayTables =
+        reachable(tables.copy(isCut = true), all - plan.deployment.minority, now + SILENCE_MILLIS)
+
     private fun heal(tables: ReplayTables, now: Timestamp): ReplayTables {
         val applied = EntriesApplied(plan.deployment.minority, tables.fleet.budgets.keys)
         val measured = tables.copy(isCut = false, counts = tables.counts.copy(stranded = stranded(tables)))
--- a/bench/src/main/kotlin/org/ibismoor/bench/budgets/internal/ReplayEvent.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/budgets/internal/ReplayEvent.kt
@@ -34,8 +34,11 @@
 internal data object GrantDue : ReplayEvent
 
 /** A message that a replica sent; it is lost if the partition lies between the two when it arrives. */
-internal data class LedgerMessageArrived(val to: ReplicaId, val message: DomainLedgerMessage, val from: ReplicaId = to) :
-    ReplayEvent
+internal data class LedgerMessageArrived(
+    val to: ReplicaId,
+    val message: DomainLedgerMessage,
+    val from: ReplicaId = to,
+) : ReplayEvent
 
 internal data class AllocatorMessageArrived(val message: ShareMessage, val from: ReplicaId) : ReplayEvent
 
