--- a/routing/src/main/kotlin/org/ibismoor/routing/api/UpstreamRow.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/UpstreamRow.kt
@@ -17,9 +17,9 @@
 
 /**
  * [inFlight] counts this router's attempts under way and [others] the requests of other routers, smoothed over the
- * reports up to [report], which arrived at [reportedAt]. [failedConnects] counts failed connects since the last answer, one for each ejection that they caused.
- * [returnedAt] is the end of the last ejection. A row whose upstream [isRemoved] from the configuration
- * stays until its last attempt ends.
+ * reports up to [report], which arrived at [reportedAt]. [failedConnects] counts failed connects since the last answer,
+ * one for each ejection that they caused. [returnedAt] is the end of the last ejection. A row whose upstream
+ * [isRemoved] from the configuration stays until its last attempt ends.
  */
 data class UpstreamRow(
     val upstream: Upstream,
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/PrefixAffinity.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/PrefixAffinity.kt
@@ -1,6 +1,6 @@
 /**
- * Affinity to the engine that holds the prompt prefix: rendezvous hashing with a load bound, so that a hot prefix spills
- * over to a second engine before it waits at the first.
+ * Affinity to the engine that holds the prompt prefix: rendezvous hashing with a load bound, so that a hot prefix
+ * spills over to a second engine before it waits at the first.
  */
 package org.ibismoor.routing.internal
 
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
@@ -47,6 +47,10 @@
 
 internal fun RoutingTables.with(id: UpstreamGroupId, row: GroupRow): RoutingTables = copy(groups = groups.put(id, row))
 
+/** Changes the group that [row] is for. */
+internal inline fun RoutingTables.changed(row: StreamRow, change: (GroupRow) -> GroupRow): RoutingTables =
+    with(row.work.route.group, change(group(row.work.route.group)))
+
 private fun RoutingTables.withoutQueued(row: StreamRow, policy: QueuePolicy): RoutingTables {
     val id = row.work.route.group
     val group = group(id)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
@@ -14,7 +14,6 @@
 import org.ibismoor.routing.api.AttemptFailure
 import org.ibismoor.routing.api.Completion
 import org.ibismoor.routing.api.CountEvent
-import org.ibismoor.routing.api.GroupRow
 import org.ibismoor.routing.api.RoutingEvent
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingSettings
@@ -67,9 +66,6 @@
         return if (waitsForLedger) learned.put(answered, limits).step() else leases.settle(learned, answered, now)
     }
 
-    private fun RoutingTables.changed(row: StreamRow, change: (GroupRow) -> GroupRow): RoutingTables =
-        with(row.work.route.group, change(group(row.work.route.group)))
-
     private fun learn(tables: RoutingTables, row: StreamRow, cost: Long): RoutingTables {
         val route = row.work.route.id
         val bound = row.work.answerTokenBound.toLong()
@@ -140,16 +136,16 @@
         return !failure.mayHaveRun || (row.work.isIdempotent && isUntouched)
     }
 
-    private fun reasonOf(failure: AttemptFailure): RefusalReason =
-        when (failure) {
-            AttemptFailure.CROSSED_ANSWER -> RefusalReason.CROSSED_ANSWER
-            AttemptFailure.BROKEN_ANSWER -> RefusalReason.INCOMPLETE_ANSWER
-            AttemptFailure.TIMEOUT -> RefusalReason.UPSTREAM_TIMEOUT
-            else -> RefusalReason.UPSTREAM_FAILED
-        }
-
     private companion object {
         /** The next tick, so that connects which fail together eject their upstreams before another is selected. */
         const val UNSENT_RETRY_MILLIS = 1L
     }
 }
+
+private fun reasonOf(failure: AttemptFailure): RefusalReason =
+    when (failure) {
+        AttemptFailure.CROSSED_ANSWER -> RefusalReason.CROSSED_ANSWER
+        AttemptFailure.BROKEN_ANSWER -> RefusalReason.INCOMPLETE_ANSWER
+        AttemptFailure.TIMEOUT -> RefusalReason.UPSTREAM_TIMEOUT
+        else -> RefusalReason.UPSTREAM_FAILED
+    }
