--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Replay.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Replay.kt
@@ -54,7 +54,8 @@
         }
         val engines = trace.header.engines.map { EngineRow(it) }.associateBy { it.id }.toPersistentHashMap()
         val first = ReplayTables(engines, routers.toMap().toPersistentHashMap())
-        val configured = domains.fold(first) { t, domain -> t.sent(0, ToRouter(domain, ConfigurationChanged(tables()))) }
+        val change = ConfigurationChanged(tables())
+        val configured = domains.fold(first) { t, domain -> t.sent(0, ToRouter(domain, change)) }
         return score(ticks(schedule, configured))
     }
 
--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Score.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Score.kt
@@ -25,8 +25,8 @@
 
 /**
  * [goodput] is the share of requests answered whole within their deadline. [falseRefusals] counts requests that failed
- * before a token while an engine had a free place in its batch. [amplification] is attempts for each request, [cacheHits] the share of
- * attempts that found their prefix, and [fairness] the lowest goodput of an organisation.
+ * before a token while an engine had a free place in its batch. [amplification] is attempts for each request,
+ * [cacheHits] the share of admitted attempts that found their prefix, [fairness] the lowest goodput of an organisation.
  */
 internal data class Score(
     val requests: Int,
--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceFile.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceFile.kt
@@ -3,6 +3,7 @@
  */
 package org.ibismoor.bench.replay.internal
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.ibismoor.core.api.Finding
@@ -28,8 +29,14 @@
 
     fun read(path: Path): TraceResult {
         val isReadable = Files.isReadable(path) && Files.size(path) <= LARGEST_TRACE_BYTES
-        if (!isReadable) return findings(path, null, "the trace cannot be read or is larger than $LARGEST_TRACE_BYTES B")
-        val lines = Files.readAllLines(path)
+        return if (isReadable) {
+            decode(path, Files.readAllLines(path))
+        } else {
+            findings(path, null, "the trace cannot be read or is larger than $LARGEST_TRACE_BYTES B")
+        }
+    }
+
+    private fun decode(path: Path, lines: List<String>): TraceResult {
         val decoded = lines.drop(1).map { decode(TraceLine.serializer(), it) }
         val header = lines.firstOrNull()?.let { decode(TraceHeader.serializer(), it) }
         val wrong = decoded.indexOfFirst { it == null }
@@ -40,7 +47,7 @@
         }
     }
 
-    private fun <T> decode(serializer: kotlinx.serialization.KSerializer<T>, text: String): T? =
+    private fun <T> decode(serializer: KSerializer<T>, text: String): T? =
         try {
             json.decodeFromString(serializer, text)
         } catch (_: SerializationException) {
--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceGenerator.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/TraceGenerator.kt
@@ -20,60 +20,6 @@
 private const val FAULT_AT = 10_000L
 private const val RETURN_AT = 20_000L
 
-/** A deployment; [oneWayMillis] is the delay between its domains. */
-internal enum class Deployment(val region: String, val oneWayMillis: Double, val engines: Int) {
-    BILBAO("norte", 0.5, 6),
-    COULEE("prairie", 1.2, 8),
-    ;
-
-    val domains: List<String> get() = (1..DOMAINS).map { "$region-$it" }
-
-    private companion object {
-        const val DOMAINS = 3
-    }
-}
-
-/** [load] and [burst] are in percent of what the engines can generate; [burst] holds between the fault times. */
-internal enum class TraceKind(val load: Long, val burst: Long, val expected: List<Expectation>) {
-    CALM(
-        50,
-        50,
-        listOf(
-            Expectation(Metric.GOODPUT, ROUND_ROBIN, 100),
-            Expectation(Metric.FIRST_TOKEN_P95, RANDOM, 100),
-            Expectation(Metric.CACHE_HITS, ROUND_ROBIN, 120),
-        ),
-    ),
-    BURST(
-        50,
-        180,
-        listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 100), Expectation(Metric.FIRST_TOKEN_P95, ROUND_ROBIN, 100)),
-    ),
-    ENGINE_LOSS(
-        60,
-        60,
-        listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 99), Expectation(Metric.FALSE_REFUSALS, ROUND_ROBIN, 100)),
-    ),
-    DOMAIN_LOSS(
-        50,
-        50,
-        listOf(Expectation(Metric.GOODPUT, ROUND_ROBIN, 99), Expectation(Metric.FALSE_REFUSALS, ROUND_ROBIN, 100)),
-    ),
-    RETRY_STORM(
-        60,
-        250,
-        listOf(
-            Expectation(Metric.GOODPUT, NO_LIMITS, 100),
-            Expectation(Metric.AMPLIFICATION, NO_LIMITS, 80),
-        ),
-    ),
-    LARGE_ORGANISATION(
-        110,
-        220,
-        listOf(Expectation(Metric.FAIRNESS, NO_ADMISSION, 100), Expectation(Metric.GOODPUT, ROUND_ROBIN, 99)),
-    ),
-}
-
 internal class TraceGenerator(private val deployment: Deployment, private val kind: TraceKind, private val seed: Long) {
     private var random = SeededRandom(seed)
 
