--- a/control/src/main/kotlin/org/ibismoor/control/internal/DataFolder.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/DataFolder.kt
@@ -20,12 +20,9 @@
 import java.nio.file.Path
 import java.util.UUID
 
-private const val IDENTITY_LOG = "identity"
-private const val CONSENSUS_LOG = "consensus"
-private const val LEDGER_LOG = "ledger"
-
-/** What to do when a replica has lost what it promised to keep. */
-internal const val NEXT_EPOCH = "declare the next epoch of this replica and run init --join true for it"
+internal const val IDENTITY_LOG = "identity"
+internal const val CONSENSUS_LOG = "consensus"
+internal const val LEDGER_LOG = "ledger"
 
 /** The opened logs of a data folder with what they hold. */
 internal class DataFolder(
@@ -91,20 +88,6 @@
     return if (problem == null) OpenResult.Opened(opened, checkNotNull(identity)) else unsafe(problem)
 }
 
-/** Opening makes a log that is absent, so a lost log would be taken for an empty one. */
-private fun logsMissing(folder: Path): List<String> =
-    listOf(IDENTITY_LOG, CONSENSUS_LOG, LEDGER_LOG).filterNot { Files.exists(folder.resolve("$it.log")) }
-
-private fun missingProblem(folder: Path, missing: List<String>): String =
-    if (IDENTITY_LOG in missing) {
-        "$folder was not made by init; run init with an empty folder"
-    } else {
-        "$folder has lost ${missing.joinToString(" and ") { "$it.log" }}; $NEXT_EPOCH"
-    }
-
-private fun isEmptyFounder(identity: FolderIdentity, opened: DataFolder): Boolean =
-    identity.made.role == FolderRole.FOUNDER && opened.consensus.records.isEmpty()
-
 private fun unsafe(problem: String): OpenResult = OpenResult.Unsafe(problem)
 
 private fun openFolder(folder: Path): DataFolder {
--- a/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/RunningControl.kt
@@ -9,7 +9,6 @@
 import org.http4k.server.Http4kServer
 import org.ibismoor.control.api.ControlProcess
 import org.ibismoor.control.api.ControlProcessSettings
-import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.fleet.api.ControlEffect
 import org.ibismoor.fleet.api.ControlLogs
 import org.ibismoor.fleet.api.ControlMessage
@@ -83,16 +82,10 @@
             log.warn("cut a torn tail", "file" to it.file, "offset" to it.offset, "bytes" to it.bytes)
         }
         meters.observe(this, folder, replies)
-        startServer()
+        start(server)
         log.info("listening", "replica" to tables.replica, "port" to server.port())
     }
 
-    /** Waits for all other founders; see [FolderCheck]. */
-    fun checkFolder(peers: Map<ReplicaId, String>): List<FolderRecord>? {
-        log.info("waiting until every other founder has answered", "founders" to known.get().founders)
-        return FolderCheck(client, known.get(), peers).run()
-    }
-
     /** Keeps which folders the other founders have, and tells them from now on. */
     fun remember(records: List<FolderRecord>) {
         folder.identity.append(records)
@@ -134,14 +127,6 @@
         folder.close()
     }
 
-    private fun startServer() {
-        try {
-            server.start()
-        } catch (e: RuntimeException) { // the server wraps the exception of the socket
-            throw e.cause as? IOException ?: e
-        }
-    }
-
     private fun failed(cause: Throwable) {
         log.error("the control thread failed", cause)
         ended.completeExceptionally(cause)
@@ -161,3 +146,12 @@
         return ServerSettings(settings.host, settings.port, limits)
     }
 }
+
+@Suppress("TooGenericExceptionCaught") // the server wraps the exception of the socket in no type of its own
+private fun start(server: Http4kServer) {
+    try {
+        server.start()
+    } catch (e: RuntimeException) {
+        throw e.cause as? IOException ?: e
+    }
+}
--- a/control/src/main/kotlin/org/ibismoor/control/internal/Starting.kt
+++ b/control/src/main/kotlin/org/ibismoor/control/internal/Starting.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.control.api.UnsafeFolder
 import org.ibismoor.core.api.Finding
 import org.ibismoor.core.api.Place
+import org.ibismoor.runtime.api.createLog
 import org.ibismoor.runtime.api.environmentNameOf
 import org.ibismoor.transport.api.createInternalClient
 import java.io.IOException
@@ -32,10 +33,13 @@
 }
 
 private fun listen(settings: ControlProcessSettings, opened: OpenResult.Opened): StartResult {
-    val process = RunningControl(settings, opened.folder, opened.identity, createInternalClient())
+    val client = createInternalClient()
+    val process = RunningControl(settings, opened.folder, opened.identity, client)
+    val check = FolderCheck(client, opened.identity, settings.peers)
     return try {
         process.listen()
-        check(settings, opened.identity, process)
+        val records = if (needsCheck(opened.identity)) await(check, opened.identity) else emptyList()
+        run(settings, process, records)
     } catch (e: IOException) {
         process.close()
         val problem = "cannot listen on ${settings.host}:${settings.port}: ${e.message}"
@@ -43,8 +47,13 @@
     }
 }
 
-private fun check(settings: ControlProcessSettings, identity: FolderIdentity, process: RunningControl): StartResult {
-    val records = if (needsCheck(identity)) process.checkFolder(settings.peers) else emptyList()
+private fun await(check: FolderCheck, identity: FolderIdentity): List<FolderRecord>? {
+    createLog("control").info("waiting until every other founder has answered", "founders" to identity.founders)
+    return check.run()
+}
+
+/** Runs unless [records] are null because the folder must not be used. */
+private fun run(settings: ControlProcessSettings, process: RunningControl, records: List<FolderRecord>?): StartResult {
     records?.takeIf { it.isNotEmpty() }?.let(process::remember)
     return if (records == null) refuse(process, settings) else Started(process.also { it.run() })
 }
