Let the router take its bound of requests at one upstream from a flag

The router runs at most 32 requests at one upstream, so two stand-ins carry 64 streams, far fewer than 50 requests/s of 4.4 s need.

--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterCommand.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterCommand.kt
@@ -50,6 +50,13 @@
     @Option(names = ["--seed"], defaultValue = "\${env:IBISMOOR_SEED}", description = ["seed of random decisions"])
     var seed: String? = null
 
+    @Option(
+        names = ["--in-flight-per-upstream"],
+        defaultValue = "\${env:IBISMOOR_IN_FLIGHT_PER_UPSTREAM}",
+        description = ["requests that this router runs at one upstream at a time, 32 by default"],
+    )
+    var inFlightPerUpstream: String? = null
+
     override fun call(): Int {
         val check = SettingsCheck(this)
         val settings = check.settings()
--- a/router/src/main/kotlin/org/ibismoor/router/internal/SettingsCheck.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/SettingsCheck.kt
@@ -9,10 +9,15 @@
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.router.api.ControlAddress
 import org.ibismoor.router.api.RouterSettings
+import org.ibismoor.routing.api.RoutingLimits
 import java.net.URI
 import java.net.URISyntaxException
 
 private val namePattern = Regex("[a-z0-9][a-z0-9-]{0,62}")
+
+/** The server handles at most this many requests at a time. */
+private const val MOST_IN_FLIGHT = 2_000
+
 private const val LARGEST_PORT = 65_535
 
 internal class SettingsCheck(private val command: RouterCommand) {
@@ -26,9 +31,19 @@
         val port = port()
         val controls = controls(domain)
         val seed = seed()
+        val limits = limits()
         publicUrl()
         return if (findings.isEmpty()) {
-            RouterSettings(RouterId(id), FailureDomainId(domain), host(), port, command.publicUrl, controls, seed)
+            RouterSettings(
+                id = RouterId(id),
+                domain = FailureDomainId(domain),
+                host = host,
+                port = port,
+                publicUrl = command.publicUrl,
+                controls = controls,
+                seed = seed,
+                limits = limits,
+            )
         } else {
             null
         }
@@ -42,12 +57,12 @@
         return name
     }
 
-    private fun host(): String = command.listen.orEmpty().substringBeforeLast(':')
+    private val host: String get() = command.listen.orEmpty().substringBeforeLast(':')
 
     private fun port(): Int {
         val listen = command.listen.orEmpty()
         val number = listen.substringAfterLast(':', "").toIntOrNull()
-        val port = number?.takeIf { it in 0..LARGEST_PORT && host().isNotEmpty() }
+        val port = number?.takeIf { it in 0..LARGEST_PORT && host.isNotEmpty() }
         if (port == null) find("--listen", "\"$listen\" is no address", "give IP number and port, as 10.0.0.1:8080")
         return port ?: 0
     }
@@ -84,6 +99,15 @@
         return seed ?: 0
     }
 
+    private fun limits(): RoutingLimits {
+        val text = command.inFlightPerUpstream ?: return RoutingLimits()
+        val count = text.toIntOrNull()?.takeIf { it in 1..MOST_IN_FLIGHT }
+        if (count == null) {
+            find("--in-flight-per-upstream", "\"$text\" is no such number", "give a number from 1 to $MOST_IN_FLIGHT")
+        }
+        return RoutingLimits(inFlightPerUpstream = count ?: 1)
+    }
+
     private fun isUrl(text: String): Boolean =
         try {
             URI(text).let { it.scheme in setOf("http", "https") && it.host != null }
--- a/router/src/test/kotlin/org/ibismoor/router/FakeControl.kt
+++ b/router/src/test/kotlin/org/ibismoor/router/FakeControl.kt
@@ -17,11 +17,13 @@
 import org.ibismoor.configuration.api.Upstream
 import org.ibismoor.configuration.api.deltaBetween
 import org.ibismoor.core.api.ApiKeyDigest
+import org.ibismoor.core.api.BodyDigest
 import org.ibismoor.core.api.BudgetId
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.RequestKey
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
@@ -46,6 +48,7 @@
 import org.ibismoor.transport.api.withJsonBody
 import java.security.MessageDigest
 import java.util.HexFormat
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 
 const val API_KEY = "test-key"
@@ -60,6 +63,9 @@
     @Volatile
     var refusesSettlement = false
 
+    /** First body of each request key. */
+    private val bodies = ConcurrentHashMap<RequestKey, BodyDigest>()
+
     private val configuration = configurationOf(engines, services)
     private val server = createServer(ServerSettings("127.0.0.1", 0)) { request, _ ->
         when (request.uri.path) {
@@ -96,10 +102,12 @@
     private fun answer(request: LedgerRequest): LedgerAnswer =
         when (request) {
             is Reserve ->
-                if (request.budget == BudgetId("poor")) {
-                    Refused(request.attempt, RefusalReason.BUDGET_EXHAUSTED, Outcome.NOT_RUN)
-                } else {
-                    Reserved(request.attempt, request.amount)
+                when {
+                    request.budget == BudgetId("poor") ->
+                        Refused(request.attempt, RefusalReason.BUDGET_EXHAUSTED, Outcome.NOT_RUN)
+                    bodies.putIfAbsent(request.key, request.body).let { it != null && it != request.body } ->
+                        Refused(request.attempt, RefusalReason.KEY_REUSED, Outcome.NOT_RUN)
+                    else -> Reserved(request.attempt, request.amount)
                 }
             is Extend -> Reserved(request.attempt, request.amount)
             is Cancel -> Cancelled(request.attempt)
