Repair the lint findings of the scenario module

Change: shorter functions, named constants, spacing; classes with one short function for each event keep their size and say so.

--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/ExampleFleet.kt
@@ -27,6 +27,11 @@
 private val assistants = UpstreamGroupId("assistants")
 private val bookingDesk = UpstreamGroupId("booking-desk")
 private const val BOOKING_PRICE = 50L
+private const val TIMEOUT_MILLIS = 10_000L
+private const val DEFAULT_ANSWER_TOKENS = 256
+private const val MOST_ANSWER_TOKENS = 1_024
+private const val PROMPT_TOKENS = 40L
+private const val ANSWER_TOKENS = 60L
 
 /** A fleet of the size of Bilbao: two assistants and one booking worker in each of three failure domains. */
 fun bilbao(vararg budgets: Pair<String, Long>, heldBackPerMille: Int = 100): ConfigurationTables {
@@ -38,11 +43,18 @@
             .associateBy { it.digest }.toPersistentHashMap(),
         budgets = rows.associateBy { it.id }.toPersistentHashMap(),
         routes = listOf(
-            ModelRoute(RouteId("chat"), assistants, 10_000, "assistant", 256, 1_024),
+            ModelRoute(
+                RouteId("chat"),
+                assistants,
+                TIMEOUT_MILLIS,
+                "assistant",
+                DEFAULT_ANSWER_TOKENS,
+                MOST_ANSWER_TOKENS,
+            ),
             ServiceRoute(
                 RouteId("bookings"),
                 bookingDesk,
-                10_000,
+                TIMEOUT_MILLIS,
                 persistentListOf(ServiceRule("POST", "/", isIdempotent = false, price = BOOKING_PRICE)),
             ),
         ).associateBy { it.id }.toPersistentHashMap(),
@@ -60,7 +72,8 @@
     }
 
 /** A chat completion of 40 prompt and 60 answer tokens. */
-fun chat(budget: String, key: String) = ChatCall(budget, key, "assistant", 40, 60, 60)
+fun chat(budget: String, key: String) =
+    ChatCall(budget, key, "assistant", PROMPT_TOKENS, ANSWER_TOKENS, ANSWER_TOKENS.toInt())
 
 /** An escort confirmation, which must run at most once. */
 fun booking(budget: String, key: String) =
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/StepBuilder.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/StepBuilder.kt
@@ -8,6 +8,7 @@
 import org.ibismoor.core.api.GrantId
 import org.ibismoor.core.api.UpstreamId
 
+@Suppress("TooManyFunctions") // one verb of the language for each step
 class StepBuilder internal constructor(private val domains: List<String>) {
     internal val steps = mutableListOf<ScenarioStep>()
 
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/api/Trace.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/api/Trace.kt
@@ -23,8 +23,16 @@
 
 /** Runs the scenario of the trace [lines] again. */
 fun replayTrace(lines: List<String>): ReplayResult {
-    val header = lines.firstOrNull()?.let(::readHeader) ?: return ReplayResult.Unreadable("the first line is no header")
-    val scenario = scenarioOf(header) ?: return ReplayResult.Unreadable("there is no scenario ${header.scenario}")
+    val header = lines.firstOrNull()?.let(::readHeader)
+    val scenario = header?.let(::scenarioOf)
+    return when {
+        header == null -> ReplayResult.Unreadable("the first line is no header")
+        scenario == null -> ReplayResult.Unreadable("there is no scenario ${header.scenario}")
+        else -> compare(lines, scenario)
+    }
+}
+
+private fun compare(lines: List<String>, scenario: Scenario): ReplayResult {
     val again = writeTrace(scenario, runScenario(scenario))
     val position = (0 until maxOf(lines.size, again.size)).firstOrNull { lines.getOrNull(it) != again.getOrNull(it) }
     return when (position) {
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CallerSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CallerSystem.kt
@@ -34,6 +34,7 @@
 private const val SERVICE_MILLIS = 40L
 private const val MILLIS_PER_TOKEN = 20L
 private const val LOST_ANSWER_MILLIS = 2_000L
+
 /**
  * Work may reach a leaving upstream for this long: the reading of the platform list, the silence after which a router
  * turns to the control process of another domain, a heartbeat that may be lost once, and a request on its way.
@@ -41,6 +42,7 @@
 private const val LEAVING_MILLIS = 8_000L
 private const val STATUS_OK = 200
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class CallerSystem {
     fun handle(world: World, event: WorldEvent): World =
         when (event) {
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CheckSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/CheckSystem.kt
@@ -21,6 +21,7 @@
 /** Time in which an accepted configuration is in force everywhere. */
 private const val IN_FORCE_MILLIS = 9_000L
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class CheckSystem {
     /** Checks what holds at each time after the step from [before] to [world]. */
     fun run(before: World, world: World): World {
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/DeliverySystem.kt
@@ -24,11 +24,13 @@
 import org.ibismoor.scenario.api.Defect
 
 internal const val BEAT_MILLIS = 1_000L
+
 /** A domain that was not heard for this long is replaced by the next one. */
 private const val SILENCE_MILLIS = 2_500L
 
 private const val PLATFORM_MILLIS = 1_000L
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class DeliverySystem {
     fun handle(world: World, event: WorldEvent): World =
         when (event) {
@@ -68,8 +70,8 @@
     private fun beat(world: World, id: RouterId, session: SessionId): World {
         val host = running(world, id, session) ?: return world
         val next = world.after(BEAT_MILLIS, BeatDue(id, session))
-        if (host.isFrozen) return next
-        return targets(world, host).fold(next) { state, domain -> beatTo(state, host, domain) }
+        val targets = if (host.isFrozen) emptySet() else targets(world, host)
+        return targets.fold(next) { state, domain -> beatTo(state, host, domain) }
     }
 
     private fun beatTo(world: World, host: RouterHost, domain: FailureDomainId): World {
@@ -110,7 +112,10 @@
 
     private fun beatAnswered(world: World, event: BeatAnswered): World {
         val host = running(world, event.router, event.session) ?: return world
-        if (host.isFrozen) return world.after(BEAT_MILLIS, event)
+        return if (host.isFrozen) world.after(BEAT_MILLIS, event) else takeAnswer(world, host, event)
+    }
+
+    private fun takeAnswer(world: World, host: RouterHost, event: BeatAnswered): World {
         val view = viewAfter(world, host, event)
         val before = host.view.configuration.number
         val number = view.configuration.number
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/FaultKinds.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/FaultKinds.kt
@@ -5,8 +5,6 @@
 
 import org.ibismoor.scenario.api.NetworkSettings
 import org.ibismoor.scenario.api.ProcessAction
-import org.ibismoor.scenario.api.ScenarioBuilder
-import kotlin.time.Duration
 
 internal const val ROUTERS_PER_DOMAIN = 2
 private const val LARGEST_DELAY_MILLIS = 400
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/Hosts.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
+import org.ibismoor.core.api.Timestamp
 import org.ibismoor.fleet.api.ControlMessage
 import org.ibismoor.fleet.api.ControlTables
 import org.ibismoor.ledger.api.ChargeRecord
@@ -22,7 +23,7 @@
 import org.ibismoor.routing.api.RoutingTables
 import org.ibismoor.scenario.api.ProcessAction
 
-/** A control process with its disk. */
+/** A control process with its disk. [due] is the time of the scenario at which it must run next. */
 internal data class ReplicaHost(
     val replica: ReplicaId,
     val tables: ControlTables?,
@@ -31,16 +32,16 @@
     val isFrozen: Boolean = false,
     val waiting: PersistentList<ControlMessage> = persistentListOf(),
     val clock: HostClock = HostClock(),
+    val due: Timestamp? = null,
     val diskFault: ProcessAction? = null,
 ) {
     val endpoint: Endpoint get() = Endpoint(replica.domain, replica.domain.text)
 
-
     /** Charges on the disk of this process. */
     val charges: List<ChargeRow> get() = ledgerLog.filterIsInstance<ChargeRecord>().map { it.charge }
 }
 
-/** A router process. [starts] counts its starts, so that each run has a session of its own. */
+/** A router process. [starts] counts its starts, so that each run has a session of its own; [due] as above. */
 internal data class RouterHost(
     val id: RouterId,
     val domain: FailureDomainId,
@@ -53,9 +54,9 @@
     val isFrozen: Boolean = false,
     val waiting: PersistentList<RoutingMessage> = persistentListOf(),
     val clock: HostClock = HostClock(),
+    val due: Timestamp? = null,
 ) {
     val endpoint: Endpoint get() = Endpoint(domain, id.text)
 
-
     val session: SessionId get() = SessionId("$id-$starts")
 }
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
@@ -36,6 +36,7 @@
         return host.copy(
             tables = restoreControl(host.replica, logs, codec, scenario.control, start),
             isFrozen = false,
+            due = now,
         )
     }
 
@@ -54,7 +55,7 @@
     fun startRouter(host: RouterHost, now: Timestamp): RouterHost {
         val next = RouterHost(host.id, host.domain, host.number, host.starts + 1, clock = host.clock)
         val tables = initialRoutingTables(settings(host.domain), next.session, seed + host.number, next.clock.show(now))
-        return next.copy(tables = tables)
+        return next.copy(tables = tables, due = now)
     }
 
     private fun settings(domain: FailureDomainId): RoutingSettings =
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ReplicaSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ReplicaSystem.kt
@@ -49,22 +49,30 @@
 
 private const val PUBLICATION_RETRY_MILLIS = 500L
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class ReplicaSystem(private val machine: TickMachine<ControlTables, ControlMessage, ControlEffect>) {
     fun run(world: World): World = world.replicas.keys.sorted().fold(world, ::runHost)
 
     /** Time of the earliest due work of all control processes. */
     fun nextDue(world: World) =
-        world.replicas.values.filter { !it.isFrozen }.mapNotNull(::dueOf).minOrNull()
-
-    private fun dueOf(host: ReplicaHost) = host.tables?.let(machine::nextDue)?.let(host.clock::timeOf)
+        world.replicas.values.filter { !it.isFrozen && it.tables != null }.mapNotNull { it.due }.minOrNull()
 
     private fun runHost(world: World, domain: FailureDomainId): World {
         val host = world.replicas.getValue(domain)
-        val tables = host.tables ?: return world
-        val isDue = dueOf(host)?.let { it <= world.now } ?: false
-        if (host.isFrozen || host.waiting.isEmpty() && !isDue) return world
+        return if (isDue(world, host)) step(world, host) else world
+    }
+
+    private fun isDue(world: World, host: ReplicaHost): Boolean {
+        val hasWork = host.waiting.isNotEmpty() || host.due?.let { it <= world.now } ?: false
+        return hasWork && !host.isFrozen && host.tables != null
+    }
+
+    private fun step(world: World, host: ReplicaHost): World {
+        val tables = checkNotNull(host.tables)
+        val domain = host.replica.domain
         val step = machine.run(tables, Tick(host.clock.show(world.now), WallTime(world.now.millis), host.waiting))
-        val next = host.copy(tables = step.tables, waiting = persistentListOf())
+        val due = machine.nextDue(step.tables)?.let(host.clock::timeOf)
+        val next = host.copy(tables = step.tables, waiting = persistentListOf(), due = due)
         val moved = world.copy(replicas = world.replicas.put(domain, next))
         return step.effects.fold(moved) { state, effect -> performAlive(state, domain, effect) }
     }
@@ -160,7 +168,16 @@
 
     private fun answerLedger(world: World, domain: FailureDomainId, effect: AnswerLedger): World {
         val row = world.replies[effect.reply] as? LedgerReply ?: return world
-        if (world.isCut(endpoint(world, domain), world.routers.getValue(row.router).endpoint)) return world
+        val isCut = world.isCut(endpoint(world, domain), world.routers.getValue(row.router).endpoint)
+        return if (isCut) world else sendLedgerAnswers(world, domain, effect, row)
+    }
+
+    private fun sendLedgerAnswers(
+        world: World,
+        domain: FailureDomainId,
+        effect: AnswerLedger,
+        row: LedgerReply,
+    ): World {
         val messages = effect.answers.map(::LedgerAnswered) + ControlHeard(LedgerAuthority(domain))
         return messages.fold(world.copy(replies = world.replies.remove(effect.reply))) { state, message ->
             state.after(world.network.delayMillis, ToRouter(row.router, row.session, message))
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/RouterSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/RouterSystem.kt
@@ -32,6 +32,7 @@
 private const val CALLER_RETRY_MILLIS = 300L
 private const val CALLER_ATTEMPTS = 6
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class RouterSystem(
     private val machine: (RouterHost) -> TickMachine<RoutingTables, RoutingMessage, RoutingEffect>,
 ) {
@@ -39,20 +40,25 @@
 
     /** Time of the earliest due work of all routers. */
     fun nextDue(world: World): Timestamp? =
-        world.routers.values.filter { !it.isFrozen }.mapNotNull(::dueOf)
+        world.routers.values.filter { !it.isFrozen && it.tables != null }.mapNotNull { it.due }
             .minOrNull()
 
-    private fun dueOf(host: RouterHost): Timestamp? =
-        host.tables?.let(machine(host)::nextDue)?.let(host.clock::timeOf)
-
     private fun runHost(world: World, id: RouterId): World {
         val host = world.routers.getValue(id)
-        val tables = host.tables ?: return world
-        val isDue = dueOf(host)?.let { it <= world.now } ?: false
-        if (host.isFrozen || host.waiting.isEmpty() && !isDue) return world
+        return if (isDue(world, host)) step(world, host) else world
+    }
+
+    private fun isDue(world: World, host: RouterHost): Boolean {
+        val hasWork = host.waiting.isNotEmpty() || host.due?.let { it <= world.now } ?: false
+        return hasWork && !host.isFrozen && host.tables != null
+    }
+
+    private fun step(world: World, host: RouterHost): World {
+        val tables = checkNotNull(host.tables)
         val step = machine(host).run(tables, Tick(host.clock.show(world.now), WallTime(world.now.millis), host.waiting))
-        val next = host.copy(tables = step.tables, waiting = persistentListOf())
-        val moved = world.copy(routers = world.routers.put(id, next))
+        val due = machine(host).nextDue(step.tables)?.let(host.clock::timeOf)
+        val next = host.copy(tables = step.tables, waiting = persistentListOf(), due = due)
+        val moved = world.copy(routers = world.routers.put(host.id, next))
         return step.effects.fold(moved) { state, effect -> perform(state, next, effect) }
     }
 
@@ -111,9 +117,8 @@
     }
 
     private fun released(world: World, stream: Long): World {
-        val row = world.streams[stream] ?: return world
+        val row = world.streams[stream]?.takeIf { it.router.text !in world.isolated } ?: return world
         val call = world.calls.getValue(row.call)
-        if (row.router.text in world.isolated) return world
         val answered = call.copy(isAnswered = true, answeredAt = world.now, stream = null)
         return world.traced(TraceKind.OUTCOME, "${row.router} answers ${call.call.key} (stream $stream)").copy(
             calls = world.calls.put(row.call, answered),
@@ -122,9 +127,12 @@
     }
 
     private fun refused(world: World, effect: Refuse): World {
-        val row = world.streams[effect.stream.value] ?: return world
+        val row = world.streams[effect.stream.value]?.takeIf { it.router.text !in world.isolated } ?: return world
         val call = world.calls.getValue(row.call)
-        if (call.stream != effect.stream.value || row.router.text in world.isolated) return world
+        return if (call.stream == effect.stream.value) refusedCall(world, row, call, effect) else world
+    }
+
+    private fun refusedCall(world: World, row: StreamRow, call: CallRow, effect: Refuse): World {
         val next = call.copy(stream = null, refusals = call.refusals + Refusal(effect.reason, effect.outcome))
         val moved = world.copy(calls = world.calls.put(row.call, next), observed = observeRefusal(world, call, effect))
         val isRetried = effect.outcome != Outcome.RAN && next.attempts < CALLER_ATTEMPTS
--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/StepSystem.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/StepSystem.kt
@@ -32,6 +32,7 @@
 /** An operator who got no answer sends the same publication again after this time. */
 private const val RESEND_MILLIS = 3_000L
 
+@Suppress("TooManyFunctions") // one short function for each event, effect or check
 internal class StepSystem(private val processes: ProcessFactory) {
     fun handle(world: World, event: WorldEvent): World =
         when (event) {
