Serve the restored configuration after a restart of a control process

Cause: a control process that restarted served no configuration to its routers until the next publication, since its membership tables started empty; a router that had missed the last publication stayed behind it for as long. Change: the membership tables start with the configuration that the replay restored. A scenario restarts a control process within a second after a publication. Conclusion: guarantee 8 needs the scenario, since the random search publishes once more at its end.

--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/Control.kt
@@ -40,7 +40,8 @@
         fleet = replayed.fleet,
         ledger = restoreDomainLedger(replica, logs.ledger, replayed.fleet, now),
         shares = ShareTables(),
-        membership = initialMembershipTables(replica, settings.membership, now),
+        membership = initialMembershipTables(replica, settings.membership, now)
+            .copy(configuration = replayed.fleet.configuration),
         appliedIndex = replayed.index,
     )
 }
--- a/scenario/src/test/kotlin/org/ibismoor/scenario/GuaranteesTest.kt
+++ b/scenario/src/test/kotlin/org/ibismoor/scenario/GuaranteesTest.kt
@@ -173,6 +173,22 @@
         result.publications.all { it.result == Applied } shouldBe true
     }
 
+    "a control process that restarts right after a publication serves it to its routers" {
+        val result = runScenario(
+            scenario("restart after publication", seed = 13) {
+                configuration = bilbao("live" to 100_000)
+                at(2.seconds) { publish("norte-1") }
+                at(8.seconds) { publish("norte-1") }
+                at(9.seconds) {
+                    control("norte-1", ProcessAction.KILL)
+                    control("norte-1", ProcessAction.START)
+                }
+                duration = 30.seconds
+            },
+        )
+        result.violations.shouldBeEmpty()
+    }
+
     "of two publications under one number exactly one wins and the other names the winner" {
         val result = runScenario(
             scenario("racing operators", seed = 10) {
