--- a/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/CapacityCommand.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/CapacityCommand.kt
@@ -7,9 +7,9 @@
 import org.ibismoor.runtime.api.ExitCode
 import org.ibismoor.runtime.api.PROGRAM_VERSION
 import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
 import picocli.CommandLine.Spec
-import picocli.CommandLine.Model.CommandSpec
 import java.util.concurrent.Callable
 
 @Command(
--- a/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/ConfigurationMeasurement.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/ConfigurationMeasurement.kt
@@ -12,9 +12,9 @@
 import org.ibismoor.configuration.api.forRouters
 import org.ibismoor.configuration.api.with
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.transport.api.Decoded
 import org.ibismoor.transport.api.decodeJson
 import org.ibismoor.transport.api.encodeJson
-import org.ibismoor.transport.api.Decoded
 
 private const val UPSTREAMS_PER_THOUSAND_BUDGETS = 19
 private const val RUNS = 200
@@ -23,7 +23,7 @@
 internal class ConfigurationMeasurement : Measurement {
     override val name = MeasurementName.CONFIGURATION
     override val unit = "budgets"
-    override val sizes = listOf(1_000, 5_000, 20_000, TARGET_BUDGETS)
+    override val sizes = budgetSizes
 
     override fun measure(size: Int): List<Figure> {
         val upstreams = size * UPSTREAMS_PER_THOUSAND_BUDGETS / THOUSAND
--- a/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/LedgerMeasurement.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/LedgerMeasurement.kt
@@ -18,9 +18,9 @@
 import org.ibismoor.ledger.api.DomainRecord
 import org.ibismoor.ledger.api.LedgerAnswer
 import org.ibismoor.ledger.api.LedgerRequest
+import org.ibismoor.ledger.api.RequestsReceived
 import org.ibismoor.ledger.api.Reserve
 import org.ibismoor.ledger.api.Reserved
-import org.ibismoor.ledger.api.RequestsReceived
 import org.ibismoor.ledger.api.Settle
 import org.ibismoor.ledger.api.Settled
 import org.ibismoor.ledger.api.createDomainLedger
@@ -39,7 +39,7 @@
 internal class LedgerMeasurement : Measurement {
     override val name = MeasurementName.LEDGER
     override val unit = "budgets"
-    override val sizes = listOf(1_000, 5_000, 20_000, TARGET_BUDGETS)
+    override val sizes = budgetSizes
 
     override fun measure(size: Int): List<Figure> {
         val ledger = MeasuredLedger(size)
--- a/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/MergeMeasurement.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/MergeMeasurement.kt
@@ -20,13 +20,16 @@
 /** 1,700 requests a second in 7 domains, merged every 200 ms. */
 private const val CHARGES_PER_BATCH = 49
 private const val BUDGETS = 5_000
+private const val FEW_CHARGES = 20_000
+private const val SOME_CHARGES = 50_000
+private const val MANY_CHARGES = 200_000
 private const val RUNS = 200
 private const val SPENT = 420L
 
 internal class MergeMeasurement : Measurement {
     override val name = MeasurementName.MERGES
     override val unit = "retained charges"
-    override val sizes = listOf(20_000, 50_000, 200_000)
+    override val sizes = listOf(FEW_CHARGES, SOME_CHARGES, MANY_CHARGES)
 
     override fun measure(size: Int): List<Figure> {
         val empty = fleetOf(configuration(BUDGETS, BUDGETS / CHARGES_PER_BATCH))
--- a/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/SnapshotMeasurement.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/capacity/internal/SnapshotMeasurement.kt
@@ -18,7 +18,7 @@
 internal class SnapshotMeasurement : Measurement {
     override val name = MeasurementName.SNAPSHOT
     override val unit = "budgets"
-    override val sizes = listOf(1_000, 5_000, 20_000, TARGET_BUDGETS)
+    override val sizes = budgetSizes
 
     override fun measure(size: Int): List<Figure> {
         val tables = fleetOf(configuration(size, size * UPSTREAMS_PER_THOUSAND_BUDGETS / THOUSAND))
