--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/ProcessFactory.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.fleet.api.restoreControl
 import org.ibismoor.ledger.api.ChargeRecord
 import org.ibismoor.ledger.api.DomainRecord
+import org.ibismoor.ledger.api.ReservationRecord
 import org.ibismoor.routing.api.RoutingEffect
 import org.ibismoor.routing.api.RoutingMessage
 import org.ibismoor.routing.api.RoutingSettings
@@ -48,10 +49,16 @@
 
     private fun ledgerRecords(host: ReplicaHost): List<DomainRecord> =
         when (Defect.FORGOTTEN_CHARGES) {
-            in scenario.defects -> host.ledgerLog.filterNot { it is ChargeRecord }
+            in scenario.defects -> withoutCharged(host.ledgerLog)
             else -> host.ledgerLog
         }
 
+    /** The reservation of a forgotten charge goes as well, or its live router would keep the tokens reserved. */
+    private fun withoutCharged(records: List<DomainRecord>): List<DomainRecord> {
+        val charged = records.filterIsInstance<ChargeRecord>().map { it.charge.key }.toSet()
+        return records.filterNot { it is ChargeRecord || it is ReservationRecord && it.key in charged }
+    }
+
     fun startRouter(host: RouterHost, now: Timestamp): RouterHost {
         val next = RouterHost(host.id, host.domain, host.number, host.starts + 1, clock = host.clock)
         val tables = initialRoutingTables(settings(host.domain), next.session, seed + host.number, next.clock.show(now))
