Keep the order of scenario steps of one time

Cause: the queue of a scenario gives entries of one time in no order, so a kill and a start at the same second ran as start and kill, and the process stayed down; a defect test took that for charges that were never merged. Ruled out: the merge of charges itself; after the order is kept, the same run has no violation. Change: events of one time run in the order in which they were made. Conclusion: the check of overspend is shown to report; one defect stays in KNOWN-RED.txt.

--- a/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldRunner.kt
+++ b/scenario/src/main/kotlin/org/ibismoor/scenario/internal/WorldRunner.kt
@@ -70,7 +70,9 @@
         val earliest = world.now + MINIMUM_STEP_MILLIS
         val now = maxOf(earliest, due ?: Timestamp(scenario.durationMillis))
         val (entries, rest) = world.queue.take(now)
-        val events = entries.mapNotNull { world.events[it.id] }
+        // the queue keeps no order among entries of one time; their numbers rise in the order in which they were made
+        val ordered = entries.sortedWith(compareBy({ it.time }, { it.id }))
+        val events = ordered.mapNotNull { world.events[it.id] }
         val taken = world.copy(
             now = now,
             queue = rest,
--- a/scenario/src/test/kotlin/org/ibismoor/scenario/DefectTest.kt
+++ b/scenario/src/test/kotlin/org/ibismoor/scenario/DefectTest.kt
@@ -21,7 +21,7 @@
 
 /** Guards against checks that pass whatever the processes do: each one reports the defect that it is for. */
 class DefectTest : StringSpec({
-    "a charge that is spent again after a restart is reported as overspend".config(enabled = withKnownRed) {
+    "a charge that is spent again after a restart is reported as overspend" {
         finds(Defect.FORGOTTEN_CHARGES, "is overspent") {
             at(8.seconds) { isolate("norte-1") }
             repeat(9.seconds, 50.seconds, 200.milliseconds) { call(domains[it % 3], chat("small", "s$it")) }
