Keep a control process up while its disk is full, and take changed seeds

Cause: a refused write ended the control process with exit code 70, and again at each restart until the disk had room. A control process also read changed settings and ignored the seeds in them.

Change: a refused write ends only the replica. Changed seeds are asked to join. Both are logged, and refused writes are counted.

Ruled out: a repeated write on the same log, since a failed sync may not be taken for a later success.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
@@ -30,5 +30,8 @@
 /** The platform's list was read in full. */
 data class UpstreamsListed(val upstreams: List<UpstreamEntry>) : CoordinationMessage
 
+/** The settings name other hosts of control processes. */
+data class SeedsChanged(val hosts: List<String>) : CoordinationMessage
+
 /** Hand leadership over before a shutdown. */
 data object ShutdownRequested : CoordinationMessage
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
 import org.ibismoor.coordination.api.JoinRow
+import org.ibismoor.coordination.api.SeedsChanged
 import org.ibismoor.coordination.api.hostOf
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Tick
@@ -21,8 +22,10 @@
 
 internal class JoinSystem(private val settings: CoordinationSettings) : CoordinationSystem {
     override fun run(tables: CoordinationTables, tick: Tick<CoordinationMessage>): CoordinationStep {
+        val named = tick.messages.filterIsInstance<SeedsChanged>().lastOrNull()
+            ?.let { tables.copy(seeds = it.hosts) } ?: tables
         val noted = tick.messages.filterIsInstance<JoinAnswered>().lastOrNull()
-            ?.let { tables.copy(join = tables.join.copy(leader = it.leader)) } ?: tables
+            ?.let { named.copy(join = named.join.copy(leader = it.leader)) } ?: named
         val taken = foldSteps(noted, tick.messages.filterIsInstance<JoinReceived>()) { table, message ->
             take(table, message, tick.now)
         }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorProcess.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorProcess.kt
@@ -18,6 +18,9 @@
     /** Serves [handler] at [address]. */
     fun serve(address: ListenAddress, handler: SimpleHandler)
 
+    /** The settings name [hosts] as those of control processes. */
+    fun seeds(hosts: List<String>)
+
     /** Hands leadership over and returns when the process may end. */
     fun drain()
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -23,6 +23,7 @@
         gauge("ibismoor_leading") { if (tables().leadingSince == null) 0 else 1 }
         gauge("ibismoor_configuration_version") { tables().state.configuration?.version ?: 0 }
         gauge("ibismoor_routers") { tables().routers.size }
+        gauge("ibismoor_stranded_tokens") { tables().state.budgets.values.sumOf { it.ended - it.endedSettled } }
         gauge("ibismoor_log_index") { tables().appliedIndex }
     }
 
@@ -35,6 +36,8 @@
 
     fun listFailed() = Counter.builder("ibismoor_upstream_list_failures").register(registry).increment()
 
+    fun storageRefused() = Counter.builder("ibismoor_storage_refusals").register(registry).increment()
+
     fun scrape(): String = registry.scrape()
 
     private fun gauge(name: String, value: () -> Number) {
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/OpenedReplica.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/OpenedReplica.kt
@@ -9,9 +9,7 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.gateway.api.CoordinatorSettings
-import org.ibismoor.storage.api.openRecordLog
-import java.nio.file.Files
-import java.nio.file.Path
+import org.ibismoor.storage.api.RecordStore
 import java.security.SecureRandom
 
 private const val LOG_NAME = "coordination"
@@ -24,9 +22,8 @@
  * Opens the folder. A folder without content is that of a founder at the first start of the fleet, and later that of a
  * new replica with an epoch of its own, which votes only after the others have taken it as a member.
  */
-internal fun openReplica(settings: CoordinatorSettings): OpenedReplica {
-    val folder: Path = Files.createDirectories(settings.dataFolder)
-    val log = ReplicaLog(openRecordLog(folder, LOG_NAME))
+internal fun openReplica(settings: CoordinatorSettings, store: RecordStore): OpenedReplica {
+    val log = ReplicaLog(store.open(LOG_NAME))
     val known = log.replica
     return when {
         known != null -> OpenedReplica(log, known, log.records)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -12,8 +12,6 @@
 import org.ibismoor.coordination.api.ConfigurationMoved
 import org.ibismoor.coordination.api.ConsensusReceived
 import org.ibismoor.coordination.api.CoordinationEffect
-import org.ibismoor.coordination.api.CoordinationMessage
-import org.ibismoor.coordination.api.CoordinationStart
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
@@ -22,19 +20,16 @@
 import org.ibismoor.coordination.api.PublicationReceived
 import org.ibismoor.coordination.api.PublishedConfiguration
 import org.ibismoor.coordination.api.ReadReceived
-import org.ibismoor.coordination.api.ReplaceRecords
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.RouterMoved
+import org.ibismoor.coordination.api.SeedsChanged
 import org.ibismoor.coordination.api.SendToReplica
 import org.ibismoor.coordination.api.SessionMoved
 import org.ibismoor.coordination.api.ShutdownRequested
-import org.ibismoor.coordination.api.SyncRecords
 import org.ibismoor.coordination.api.Unconfirmed
 import org.ibismoor.coordination.api.UpstreamsListed
-import org.ibismoor.coordination.api.createCoordination
 import org.ibismoor.coordination.api.hostOf
-import org.ibismoor.coordination.api.restoreCoordination
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.gateway.api.CoordinatorProcess
 import org.ibismoor.gateway.api.CoordinatorSettings
@@ -50,11 +45,10 @@
 import org.ibismoor.gateway.internal.net.JsonClient
 import org.ibismoor.gateway.internal.net.createTrafficThread
 import org.ibismoor.gateway.internal.net.serveSimple
-import org.ibismoor.runtime.api.ControlLoop
 import org.ibismoor.runtime.api.ListenAddress
 import org.ibismoor.runtime.api.createClock
-import org.ibismoor.runtime.api.startControlThread
-import java.security.SecureRandom
+import org.ibismoor.storage.api.StorageException
+import org.ibismoor.storage.api.createFileStore
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -74,18 +68,8 @@
     private val group: EventLoopGroup = createTrafficThread()
     private val client = JsonClient(group, ClientPool(group))
     private val clock = createClock()
-    private val opened = openReplica(settings)
-    private val loop: ControlLoop<CoordinationTables, CoordinationMessage, CoordinationEffect> = ControlLoop(
-        createCoordination(JsonCoordinationCodec, settings.coordination),
-        restoreCoordination(
-            CoordinationStart(opened.replica, settings.seeds, SecureRandom().nextLong(), clock.now()),
-            opened.records,
-            JsonCoordinationCodec,
-        ),
-        clock,
-        ::perform,
-    )
-    private val meters = CoordinatorMeters { loop.tables }
+    private val replica = RunningReplica(settings, createFileStore(settings.dataFolder), clock, Listener())
+    private val meters = CoordinatorMeters { replica.tables }
     private val links = HashMap<ReplicaId, PeerLink>()
     private val operators = Replies<OperatorAnswer>(OPERATOR_TIMEOUT_MILLIS, Unconfirmed)
     private val reports = Replies(REPORT_TIMEOUT_MILLIS, ReportAnswer(false, null, emptyList()))
@@ -95,23 +79,23 @@
 
     fun start() {
         serveSimple(group, ListenAddress(settings.host, settings.port), ::internal)
-        startControlThread("decisions", loop, ::failed)
+        replica.start()
         group.scheduleWithFixedDelay(::readList, settings.listMillis, settings.listMillis, TimeUnit.MILLISECONDS)
         log.line(
             "started",
-            "replica" to opened.replica,
-            "records" to opened.records.size,
-            "version" to loop.tables.state.configuration?.version,
+            "replica" to replica.id,
+            "records" to replica.records,
+            "version" to replica.tables.state.configuration?.version,
         )
     }
 
     override fun publish(configuration: PublishedConfiguration): CompletableFuture<OperatorAnswer> =
-        operators.open { loop.post(PublicationReceived(it, configuration)) }
+        operators.open { replica.post(PublicationReceived(it, configuration)) }
             .whenComplete { answer, _ -> noteOperator("publish", configuration.version, answer) }
 
     override fun readConfiguration(): CompletableFuture<OperatorAnswer> =
-        operators.open { loop.post(ReadReceived(it)) }
-            .whenComplete { answer, _ -> noteOperator("read", loop.tables.state.configuration?.version, answer) }
+        operators.open { replica.post(ReadReceived(it)) }
+            .whenComplete { answer, _ -> noteOperator("read", replica.tables.state.configuration?.version, answer) }
 
     private fun noteOperator(kind: String, version: Long?, answer: OperatorAnswer) {
         val outcome = answer.javaClass.simpleName.lowercase()
@@ -128,10 +112,10 @@
     private fun internal(request: SimpleRequest): CompletableFuture<SimpleAnswer> =
         when (request.path) {
             InternalPaths.REPORT ->
-                reports.open { loop.post(ReportReceived(it, InternalJson.decodeFromString(request.body))) }
+                reports.open { replica.post(ReportReceived(it, InternalJson.decodeFromString(request.body))) }
                     .thenApply { SimpleAnswer(SUCCESS, InternalJson.encodeToString(it)) }
             InternalPaths.JOIN ->
-                joins.open { loop.post(JoinReceived(it, InternalJson.decodeFromString(request.body))) }
+                joins.open { replica.post(JoinReceived(it, InternalJson.decodeFromString(request.body))) }
                     .thenApply { SimpleAnswer(SUCCESS, InternalJson.encodeToString(it.leader)) }
             InternalPaths.CONSENSUS -> {
                 receive(InternalJson.decodeFromString(request.body))
@@ -142,15 +126,12 @@
 
     /** A message for an earlier replica of this host is not for the one that runs now. */
     private fun receive(batch: PeerBatch) {
-        if (batch.to == opened.replica) batch.messages.forEach { loop.post(ConsensusReceived(batch.from, it)) }
+        if (batch.to == replica.id) batch.messages.forEach { replica.post(ConsensusReceived(batch.from, it)) }
     }
 
-    /** The log is written on the control thread, so that nothing is sent before what it depends on is synced. */
-    private fun perform(tables: CoordinationTables, effects: List<CoordinationEffect>) =
-        effects.forEach { effect ->
+    private inner class Listener : ReplicaListener {
+        override fun perform(tables: CoordinationTables, effect: CoordinationEffect) {
             when (effect) {
-                is SyncRecords -> timed { opened.log.append(effect.records) }
-                is ReplaceRecords -> timed { opened.log.replace(effect.records) }
                 is SendToReplica -> linkTo(effect.to).send(effect.message)
                 is AskToJoin -> effect.hosts.filter { it != settings.host }.forEach { join(it, effect.replica) }
                 is AnswerReport -> reports.complete(effect.reply, effect.answer)
@@ -161,6 +142,22 @@
             }
         }
 
+        override fun synced(nanos: Long) = meters.synced(nanos)
+
+        override fun storageRefused(cause: StorageException) {
+            meters.storageRefused()
+            log.line("storage_refused", "problem" to cause.message)
+        }
+
+        override fun storageReopened(records: Int) = log.line("storage_reopened", "records" to records)
+
+        override fun failed(cause: Throwable) {
+            log.line("failed", "problem" to cause.stackTraceToString().replace('\n', ' '))
+            log.close()
+            Runtime.getRuntime().halt(FAILED)
+        }
+    }
+
     private fun note(tables: CoordinationTables, effect: CoordinationEffect) {
         when (effect) {
             is LeadershipMoved ->
@@ -180,28 +177,22 @@
         }
     }
 
-    private inline fun timed(write: () -> Unit) {
-        val began = System.nanoTime()
-        write()
-        meters.synced(System.nanoTime() - began)
-    }
-
-    private fun linkTo(replica: ReplicaId): PeerLink =
-        links.getOrPut(replica) { PeerLink(opened.replica, replica, "${hostOf(replica)}:${settings.port}", client) }
+    private fun linkTo(other: ReplicaId): PeerLink =
+        links.getOrPut(other) { PeerLink(replica.id, other, "${hostOf(other)}:${settings.port}", client) }
 
-    private fun join(host: String, replica: ReplicaId) {
-        val body = InternalJson.encodeToString(replica)
+    private fun join(host: String, joining: ReplicaId) {
+        val body = InternalJson.encodeToString(joining)
         client.call("$host:${settings.port}", "POST", InternalPaths.JOIN, body, JOIN_TIMEOUT_MILLIS)
-            .thenAccept { loop.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
+            .thenAccept { replica.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
     }
 
     private fun readList() {
-        if (loop.tables.leadingSince == null || isReading) return
+        if (replica.tables.leadingSince == null || isReading) return
         isReading = true
         list.read().whenComplete { upstreams, failure ->
             isReading = false
             if (failure == null) {
-                loop.post(UpstreamsListed(upstreams))
+                replica.post(UpstreamsListed(upstreams))
             } else {
                 meters.listFailed()
                 log.line("upstream_list_failed", "problem" to failure.message)
@@ -209,20 +200,20 @@
         }
     }
 
+    override fun seeds(hosts: List<String>) {
+        log.line("settings_reloaded", "seeds" to hosts.joinToString(","))
+        replica.seeds = hosts
+        replica.post(SeedsChanged(hosts))
+    }
+
     override fun drain() {
         val began = clock.now()
-        log.line("stopping", "leading" to (loop.tables.leadingSince != null))
-        loop.post(ShutdownRequested)
-        while (loop.tables.leadingSince != null && clock.now() - began < HANDOVER_MILLIS) {
+        log.line("stopping", "leading" to (replica.tables.leadingSince != null))
+        replica.post(ShutdownRequested)
+        while (replica.tables.leadingSince != null && clock.now() - began < HANDOVER_MILLIS) {
             TimeUnit.MILLISECONDS.sleep(HANDOVER_STEP_MILLIS)
         }
         log.line("stopped", "after_ms" to clock.now() - began)
         log.close()
     }
-
-    private fun failed(cause: Throwable) {
-        log.line("failed", "problem" to cause.stackTraceToString().replace('\n', ' '))
-        log.close()
-        Runtime.getRuntime().halt(FAILED)
-    }
 }
