Count stranded tokens as spent, and hold tokens ahead where callers stay

Organisations whose callers stay at one router lacked tokens in cuts: a router beside control held none, and others held 1.5 s of demand as soon as a third of a budget was unissued, which holding the tokens itself brought about. Routers that had just started sent callers back after 250 ms, too soon for their only repeat, and requests that came during an election were refused after 250 ms.

Change: a budget is spent (402) when what is unissued, and what running sessions have not reported as spent, does not cover the request. A router with three quarters of an organisation's demand holds tokens for a cut also beside control. Whether a budget is short is decided by what is left of it, with what the router holds. Demand is measured over 2 s and not 3.3 s. Callers of a starting router come back after 1 s. A request beside control waits for an election.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceGrant.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceGrant.kt
@@ -13,7 +13,10 @@
     val issued: Long,
     /** Tokens of the budget that no session holds or has spent. */
     val unissued: Long,
-    /** Tokens of the budget that nobody has surely spent, including what ended sessions had not returned. */
+    /**
+     * Tokens of the budget that may still be spent: what running sessions have not reported as spent, and what is
+     * unissued. What ended sessions had not returned counts as spent.
+     */
     val unspent: Long,
     /** The even part of the whole demand of a router to which callers are sent, in tokens a second; 0 at others. */
     val evenDemandPerSecond: Double,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -16,6 +16,7 @@
 private const val AMPLE_HORIZON_MILLIS = 8_500L
 private const val SHORT_HORIZON_MILLIS = 1_500L
 private const val SHORT_BUDGET_PERCENT = 33L
+private const val HOME_DEMAND_PERCENT = 75L
 private const val MINIMUM_ELECTION_MILLIS = 450L
 private const val MAXIMUM_ELECTION_MILLIS = 900L
 private const val SNAPSHOT_ENTRIES = 1_000
@@ -43,9 +44,14 @@
     val nearHorizonMillis: Long = NEAR_HORIZON_MILLIS,
     /** The same for another router, which a cut may separate from control. */
     val ampleHorizonMillis: Long = AMPLE_HORIZON_MILLIS,
-    /** The same for another router when less than [shortBudgetPercent] of a budget is unissued. */
+    /** The same when less than [shortBudgetPercent] of a budget is left, so that a loss of all VMs strands less. */
     val shortHorizonMillis: Long = SHORT_HORIZON_MILLIS,
     val shortBudgetPercent: Long = SHORT_BUDGET_PERCENT,
+    /**
+     * A router with more than this part of an organisation's demand has callers that stay at it, so it holds tokens for
+     * a cut also on the VM of a replica.
+     */
+    val homeDemandPercent: Long = HOME_DEMAND_PERCENT,
     /** Entries and characters of commands after which the log is replaced by a snapshot. */
     val snapshotEntries: Int = SNAPSHOT_ENTRIES,
     val snapshotCharacters: Long = SNAPSHOT_CHARACTERS,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -49,22 +49,28 @@
     val total = tables.state.configuration?.budgets?.get(organisation) ?: 0
     val unissued = total - row.outstanding
     val isNear = tables.routers[report.router]?.let(tables::isNear) ?: false
-    val isShort = unissued * PERCENT < total * settings.shortBudgetPercent
+    val usage = tables.routers.values.mapNotNull { it.usage[organisation] }
+    val demand = usage.sumOf { it.demandPerSecond }
+    val own = report.usage.firstOrNull { it.organisation == organisation }
+    val isHome = (own?.demandPerSecond ?: 0.0) * PERCENT > demand * settings.homeDemandPercent
+    // What the router itself holds counts as left: otherwise holding it would make the budget short, and returning it
+    // ample again.
+    val heldAhead = (row.sessions[report.session]?.held ?: 0) - (own?.settled ?: 0)
+    val isShort = (unissued + heldAhead) * PERCENT < total * settings.shortBudgetPercent
     val horizon = when {
         unissued < 0 -> 0
-        isNear -> settings.nearHorizonMillis
+        isNear && !isHome -> settings.nearHorizonMillis
         isShort -> settings.shortHorizonMillis
         else -> settings.ampleHorizonMillis
     }
-    val usage = tables.routers.values.mapNotNull { it.usage[organisation] }
     val callers = callerRouters(tables, settings)
     val isCalled = callers.any { it.entry.address == report.entry.address }
     return AllowanceGrant(
         organisation = organisation,
         issued = row.sessions[report.session]?.issued ?: 0,
         unissued = unissued,
-        unspent = total - row.endedSettled - settledByLive(tables, row, organisation),
-        evenDemandPerSecond = if (isCalled) usage.sumOf { it.demandPerSecond } / callers.size else 0.0,
+        unspent = total - row.ended - settledByLive(tables, row, organisation),
+        evenDemandPerSecond = if (isCalled) demand / callers.size else 0.0,
         horizonMillis = horizon,
     )
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -10,6 +10,7 @@
 private const val ELECTION_WAIT_MILLIS = 900L
 private const val ASK_MILLIS = 10L
 private const val RETRY_AFTER_MILLIS = 250L
+private const val START_MILLIS = 1_000L
 private const val ELSEWHERE_MILLIS = 40L
 private const val ELECTION_MILLIS = 1_700L
 private const val EJECTION_MILLIS = 1_000L
@@ -35,6 +36,8 @@
     val askMillis: Long = ASK_MILLIS,
     /** When a caller should come back after a refusal. */
     val retryAfterMillis: Long = RETRY_AFTER_MILLIS,
+    /** The same while the router has no configuration yet: how long it takes from a start to the leader's answer. */
+    val startMillis: Long = START_MILLIS,
     /** The same after a refusal by a router that is cut off from control, since other routers can serve at once. */
     val elsewhereMillis: Long = ELSEWHERE_MILLIS,
     /** The first ejection of an upstream; each further one is twice as long. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AllowanceSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AllowanceSystem.kt
@@ -48,13 +48,16 @@
     return now - answeredAt > settings.times.reportMillis * 2
 }
 
-/** How long a request waits for tokens that the router has asked for. */
+/**
+ * How long a request waits for tokens that the router has asked for. A leader that answers ends the wait at once, so at
+ * a router on the VM of a replica the wait lasts for an election: only a lost leader can use it up.
+ */
 internal fun ForwardingTables.allowancePatience(now: Timestamp, settings: ForwardingSettings): Long {
     val times = settings.times
     val silence = fleet.answeredAt?.let { now - it } ?: Long.MAX_VALUE
     return when {
-        !isControlLost(now, settings) -> times.allowanceWaitMillis
         isNearControl(settings) && silence <= times.electionMillis -> times.electionWaitMillis
+        !isControlLost(now, settings) -> times.allowanceWaitMillis
         else -> times.loanWaitMillis
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
@@ -43,7 +43,7 @@
     }
 
     private fun refuse(tables: ForwardingTables, message: RequestArrived, reason: RefusalReason): ForwardingStep {
-        val retryAfter = settings.times.retryAfterMillis.takeIf { reason == RefusalReason.NOT_READY }
+        val retryAfter = settings.times.startMillis.takeIf { reason == RefusalReason.NOT_READY }
         return ForwardingStep(
             tables,
             listOf(
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -19,7 +19,7 @@
 private const val MILLIS_PER_SECOND = 1_000.0
 
 /** Weight of the newest measurement of demand when a second has passed since the one before. */
-private const val NEWEST_WEIGHT_PER_SECOND = 0.3
+private const val NEWEST_WEIGHT_PER_SECOND = 0.5
 
 /** Tokens are asked for when less than this part of the target is held, and returned beyond the other part. */
 private const val REFILL_PART = 0.8
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.core.api.RefusalReason
@@ -16,6 +17,7 @@
 import org.ibismoor.forwarding.api.LoanAsked
 import org.ibismoor.forwarding.api.LoanGiven
 import org.ibismoor.forwarding.api.ReportAnswered
+import org.ibismoor.forwarding.api.ReportLost
 import org.ibismoor.forwarding.api.SendReport
 import kotlin.random.Random
 
@@ -124,6 +126,23 @@
         router.refusalOf(number)?.retryAfterMillis shouldBe 40
     }
 
+    "a request at a router on the VM of a replica waits for the next leader" {
+        // Guards against refusals in the second that an election takes, after which callers come back in vain.
+        val router = RouterDouble(budget = 1_000_000)
+        router.generosity = 0
+        router.started()
+        router.isCutOff = true
+        router.run(400)
+        val number = router.arrive("/chat/1", prompt = promptOf(9_000, 10))
+        router.run(600)
+        router.refusalOf(number).shouldBeNull()
+        router.isCutOff = false
+        router.generosity = Long.MAX_VALUE
+        router.post(ReportLost)
+        router.run(250)
+        router.sendsOf(number) shouldHaveSize 1
+    }
+
     "a drained router gives back what it does not need" {
         val router = RouterDouble(budget = 1_000_000).started()
         router.post(DrainStarted)
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/IntakeTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/IntakeTest.kt
@@ -5,6 +5,7 @@
 import org.ibismoor.core.api.ApiKeyDigest
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.forwarding.api.ForwardingTimes
 
 class IntakeTest : StringSpec({
     "a router without a configuration says that it is not ready, never that a route is unknown" {
@@ -15,6 +16,13 @@
         router.refusalOf(number)?.outcome shouldBe Outcome.NOT_RUN
     }
 
+    "callers of a router that has just started come back when it can be ready" {
+        // Guards against callers that use up their only repeat while the fleet still starts.
+        val router = RouterDouble()
+        val number = router.arrive("/status/1")
+        router.refusalOf(number)?.retryAfterMillis shouldBe ForwardingTimes().startMillis
+    }
+
     "an unknown key is refused before anything is sent" {
         val router = RouterDouble().started()
         val number = router.arrive("/status/1", key = ApiKeyDigest("other"))
