--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -160,8 +160,11 @@
 
     private fun note(tables: CoordinationTables, effect: CoordinationEffect) {
         when (effect) {
-            is LeadershipMoved ->
+            is LeadershipMoved -> {
                 log.line("leadership", "leading" to effect.isLeading, "term" to effect.term, "leader" to effect.leader)
+                // Routers cannot serve before they know the upstreams, so the list is not left to the next reading.
+                if (effect.isLeading) group.execute(::readList)
+            }
             is ConfigurationMoved ->
                 log.line("configuration_committed", "version" to effect.version, "index" to tables.appliedIndex)
             is RouterMoved ->
