Tell other routers which prompts were sent, and keep prompts at their home

Ruled out: carrying this in reports to the leader (a report is sent before the engine is chosen, so the others learn of it one request later).

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
@@ -18,6 +18,8 @@
     val reportedAt: Timestamp = reportAt,
     /** Requests since the last report. */
     val arrived: Int = 0,
+    /** When other routers are told what this one has sent to upstreams; null if there is nothing new. */
+    val useDueAt: Timestamp? = null,
     /** Requests a second, exponentially weighted. */
     val requestsPerSecond: Double = 0.0,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -3,11 +3,13 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentMap
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.UpstreamId
 
 sealed interface ForwardingEffect
 
@@ -55,6 +57,13 @@
 /** Answers [LoanAsked]. */
 data class AnswerLoan(val reply: Long, val tokens: Long) : ForwardingEffect
 
+/** Tell the routers at [addresses] which prompt tokens of the router at [from] upstreams have still to read. */
+data class TellUse(
+    val addresses: List<String>,
+    val from: String,
+    val unreadTokens: PersistentMap<UpstreamId, Long>,
+) : ForwardingEffect
+
 /** A configuration is in force at this router. */
 data class ConfigurationInForce(val configuration: ForwardingConfiguration) : ForwardingEffect
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -3,8 +3,10 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentMap
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.UpstreamId
 
 sealed interface ForwardingMessage
 
@@ -35,5 +37,8 @@
 /** Another router has lent [tokens]. */
 data class LoanGiven(val organisation: OrganisationId, val tokens: Long) : ForwardingMessage
 
+/** The router at address [from] has prompts at upstreams of which [unreadTokens] are still to be read. */
+data class UseReceived(val from: String, val unreadTokens: PersistentMap<UpstreamId, Long>) : ForwardingMessage
+
 /** The settings name other hosts of control processes. */
 data class ControlHostsChanged(val hosts: List<String>) : ForwardingMessage
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -8,6 +8,7 @@
 private const val ALLOWANCE_WAIT_MILLIS = 250L
 private const val LOAN_WAIT_MILLIS = 40L
 private const val ELECTION_WAIT_MILLIS = 900L
+private const val TELL_MILLIS = 5L
 private const val ASK_MILLIS = 10L
 private const val RETRY_AFTER_MILLIS = 250L
 private const val START_MILLIS = 1_000L
@@ -32,6 +33,8 @@
     val electionWaitMillis: Long = ELECTION_WAIT_MILLIS,
     /** A leader that is silent for longer is not replaced but cut off from this router. */
     val electionMillis: Long = ELECTION_MILLIS,
+    /** Prompts sent within this time are told to other routers in one message. */
+    val tellMillis: Long = TELL_MILLIS,
     /** Shortest time between two reports that ask for tokens of waiting requests. */
     val askMillis: Long = ASK_MILLIS,
     /** When a caller should come back after a refusal. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -20,6 +20,8 @@
     val failures: FailureRow = FailureRow(),
     /** When this router last sent a prompt part to the upstream, by the part's identifier. */
     val parts: PersistentMap<String, Timestamp> = persistentHashMapOf(),
+    /** What other routers have sent to the upstream, by the router's address. */
+    val peers: PersistentMap<String, PeerUse> = persistentHashMapOf(),
 )
 
 /** Load as an upstream reported it with an answer at [at]. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
@@ -21,7 +21,7 @@
 private const val TOKENS_PER_WAITING = 3_000.0
 
 /** Part of the shared tokens by which the home of a prompt is preferred to an engine that is not known to hold it. */
-private const val HOME_PART = 0.6
+private const val HOME_PART = 1.6
 
 /** Prompt tokens, or requests at a plain service, that a failure rate of 1 counts for. */
 private const val FAILURE_TOKENS = 40_000.0
@@ -52,7 +52,8 @@
     val running = requestsAt(row, now) * TOKENS_PER_RUNNING
     val shared = prompt.parts.dropLast(1).sumOf { it.tokens }
     val attraction = if (isHome) shared * HOME_PART else 0.0
-    return uncachedTokens(row, request) + row.unreadTokens + waiting + running + failures * FAILURE_TOKENS - attraction
+    val unread = uncachedTokens(row, request) + row.unreadTokens + row.peerTokens(now)
+    return unread + waiting + running + failures * FAILURE_TOKENS - attraction
 }
 
 /** Requests that the upstream has as far as this router knows, by its own count and by the last report. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -22,6 +22,7 @@
             LoanSystem(settings),
             AttemptSystem(settings),
             AllowanceSystem(settings),
+            UseSystem(settings),
             SelectionSystem(settings, selection),
             DeadlineSystem(settings),
             ReportSystem(settings),
@@ -33,6 +34,6 @@
 
     override fun nextDue(tables: ForwardingTables): Timestamp? {
         val report = tables.fleet.reportAt.takeIf { !tables.fleet.isReporting }
-        return listOfNotNull(tables.due.next, report).minOrNull()
+        return listOfNotNull(tables.due.next, report, tables.fleet.useDueAt).minOrNull()
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -70,7 +70,7 @@
             requests = tables.requests.put(request.number, sent),
             waiting = tables.waiting.remove(request.number),
             upstreams = tables.upstreams.put(row.entry.id, row.taking(request, unread, now)),
-        )
+        ).usingMore(unread, now, settings)
         val decision = decided(
             DecisionKind.REQUEST_SENT,
             request.head.callId,
@@ -79,6 +79,7 @@
             "candidates" to candidates.size,
             "in_flight" to row.inFlight,
             "unread" to row.unreadTokens,
+            "unread_of_others" to row.peerTokens(now).toLong(),
             "uncached" to unread,
             "load_age_ms" to row.load?.let { now - it.at },
             "failure_rate" to row.failures.rateAt(now),
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Loans.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Loans.kt
@@ -20,7 +20,6 @@
 
 private const val TIMEOUT_MILLIS = 200L
 private const val SUCCESS = 200
-private const val NOT_FOUND = 404
 
 @Serializable
 internal data class LoanRequest(val organisation: OrganisationId, val tokens: Long)
@@ -45,7 +44,6 @@
     fun answer(effect: AnswerLoan) = replies.complete(effect.reply, effect.tokens)
 
     fun handle(request: SimpleRequest): CompletableFuture<SimpleAnswer> {
-        if (request.path != InternalPaths.LOAN) return CompletableFuture.completedFuture(SimpleAnswer(NOT_FOUND))
         val loan = InternalJson.decodeFromString<LoanRequest>(request.body)
         return replies.open { decisions(LoanAsked(it, loan.organisation, loan.tokens)) }
             .thenApply { SimpleAnswer(SUCCESS, it.toString()) }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -36,6 +36,8 @@
         Counter.builder("ibismoor_decisions").tag("kind", decision.kind.name.lowercase()).register(registry).increment()
     }
 
+    fun noticeLost() = Counter.builder("ibismoor_use_notices_lost").register(registry).increment()
+
     fun ended(nanos: Long) = durations.record(Duration.ofNanos(nanos))
 
     fun firstEvent(nanos: Long) = firstEvents.record(Duration.ofNanos(nanos))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -23,13 +23,16 @@
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
 import org.ibismoor.forwarding.api.SendReport
+import org.ibismoor.forwarding.api.TellUse
 import org.ibismoor.forwarding.api.callerAddresses
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
 import org.ibismoor.gateway.api.PlatformFormats
 import org.ibismoor.gateway.api.RouterProcess
 import org.ibismoor.gateway.api.RouterSettings
+import org.ibismoor.gateway.api.SimpleAnswer
 import org.ibismoor.gateway.api.SimpleHandler
+import org.ibismoor.gateway.api.SimpleRequest
 import org.ibismoor.gateway.internal.InternalJson
 import org.ibismoor.gateway.internal.InternalPaths
 import org.ibismoor.gateway.internal.StructuredLog
@@ -42,11 +45,13 @@
 import org.ibismoor.runtime.api.createClock
 import org.ibismoor.runtime.api.startControlThread
 import java.security.SecureRandom
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 private const val REPORT_TIMEOUT_MILLIS = 600L
 private const val DRAIN_STEP_MILLIS = 50L
 private const val FAILED = 70
+private const val NOT_FOUND = 404
 
 @Suppress("TooManyFunctions") // one function for each call of the process
 internal class RunningRouter(private val settings: RouterSettings, private val formats: PlatformFormats) :
@@ -65,11 +70,12 @@
     private val meters = RouterMeters({ loop.tables }, { log.droppedLines })
     private val traffic = RouterTraffic(group, pool, formats.dialect, meters, loop::post)
     private val loans = Loans(client, settings.routerPort, loop::post)
+    private val notices = UseNotices(client, settings.routerPort, meters, loop::post)
     private var job: Job? = null
 
     fun start() {
         traffic.listen(settings.callers)
-        serve(ListenAddress(settings.callers.host, settings.routerPort), loans::handle)
+        serve(ListenAddress(settings.callers.host, settings.routerPort), ::peerCall)
         job = startControlThread("decisions", loop, ::failed)
         log.line("started", "session" to loop.tables.session, "address" to settings.callers.host)
     }
@@ -96,6 +102,7 @@
         effects.forEach { effect ->
             when (effect) {
                 is SendReport -> report(effect)
+                is TellUse -> notices.tell(effect)
                 is AskLoan -> loans.ask(effect)
                 is AnswerLoan -> loans.answer(effect)
                 is ConfigurationInForce -> traffic.limits = effect.configuration.limits
@@ -109,6 +116,13 @@
         group.execute { traffic.perform(effects) }
     }
 
+    private fun peerCall(request: SimpleRequest): CompletableFuture<SimpleAnswer> =
+        when (request.path) {
+            InternalPaths.LOAN -> loans.handle(request)
+            InternalPaths.USE -> notices.handle(request)
+            else -> CompletableFuture.completedFuture(SimpleAnswer(NOT_FOUND))
+        }
+
     private fun report(effect: SendReport) {
         val body = InternalJson.encodeToString(effect.report)
         val address = "${effect.host}:${settings.controlPort}"
