Keep the JVM alive while a control process waits for its disk

Cause: the control thread was the only thread that is no daemon. When a full disk ended it, the JVM ended with code 0 before the log was opened again.

Change: a thread of its own, no daemon, waits and opens the log again. The test looks for it and fails without it.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
@@ -21,12 +21,13 @@
 import org.ibismoor.storage.api.RecordStore
 import org.ibismoor.storage.api.StorageException
 import java.security.SecureRandom
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Time between tries to use a disk again that has refused a write. */
 private const val REOPEN_MILLIS = 500L
 
+internal const val REOPENING_THREAD: String = "storage"
+
 internal class RunningReplica(
     private val settings: CoordinatorSettings,
     private val store: RecordStore,
@@ -84,12 +85,14 @@
         if (cause is StorageException) refused(cause) else listener.failed(cause)
     }
 
+    /** The waiting thread is no daemon: the control thread has ended, and the JVM ends when only daemons are left. */
     private fun refused(cause: StorageException) {
         listener.storageRefused(cause)
-        CompletableFuture.delayedExecutor(REOPEN_MILLIS, TimeUnit.MILLISECONDS).execute(::reopen)
+        Thread(::reopen, REOPENING_THREAD).start()
     }
 
     private fun reopen() {
+        TimeUnit.MILLISECONDS.sleep(REOPEN_MILLIS)
         try {
             current.opened.log.close()
             // A folder that is empty now has lost its content, so it is never taken for a first start again.
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RunningReplicaTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RunningReplicaTest.kt
@@ -13,6 +13,7 @@
 import org.ibismoor.coordination.api.PublicationReceived
 import org.ibismoor.coordination.api.PublishedConfiguration
 import org.ibismoor.gateway.api.CoordinatorSettings
+import org.ibismoor.gateway.internal.control.REOPENING_THREAD
 import org.ibismoor.gateway.internal.control.ReplicaListener
 import org.ibismoor.gateway.internal.control.RunningReplica
 import org.ibismoor.runtime.api.createClock
@@ -38,6 +39,11 @@
         store.inject(StorageFaultPlan(capacityBytes = store.sizeBytes))
         process.publish(2)
         eventually(5.seconds) { process.refusals.shouldNotBeEmpty() }
+        // Guards against a JVM that ends with code 0 while it waits, since only daemon threads are left.
+        eventually(5.seconds) {
+            val waiting = Thread.getAllStackTraces().keys.single { it.name == REOPENING_THREAD }
+            waiting.isDaemon shouldBe false
+        }
         process.confirmed shouldBe listOf(1L)
 
         store.inject(StorageFaultPlan())
