--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
@@ -74,14 +74,9 @@
     "a request that comes while a report is under way is asked for in the next one, which follows soon" {
         // Guards against requests that are refused for their share while the budget has tokens: the answer to the
         // report under way moved the next report beyond the time for which a request waits.
-        val router = RouterDouble(budget = 1_000_000)
-        router.generosity = 0
-        router.started()
-        router.isCutOff = true
-        router.run(400)
+        val router = routerWithoutTokens()
         val number = router.arrive("/chat/1", prompt = promptOf(9_000, 10))
-        router.isCutOff = false
-        router.generosity = Long.MAX_VALUE
+        router.reachGenerousLeader()
         router.post(ReportAnswered(ReportAnswer(true, null, emptyList()), null))
         router.run(20)
         router.sendsOf(number) shouldHaveSize 1
@@ -128,16 +123,11 @@
 
     "a request at a router on the VM of a replica waits for the next leader" {
         // Guards against refusals in the second that an election takes, after which callers come back in vain.
-        val router = RouterDouble(budget = 1_000_000)
-        router.generosity = 0
-        router.started()
-        router.isCutOff = true
-        router.run(400)
+        val router = routerWithoutTokens()
         val number = router.arrive("/chat/1", prompt = promptOf(9_000, 10))
         router.run(600)
         router.refusalOf(number).shouldBeNull()
-        router.isCutOff = false
-        router.generosity = Long.MAX_VALUE
+        router.reachGenerousLeader()
         router.post(ReportLost)
         router.run(250)
         router.sendsOf(number) shouldHaveSize 1
@@ -155,6 +145,21 @@
     }
 })
 
+/** A router that holds no tokens and whose report is under way when control processes are cut off. */
+private fun routerWithoutTokens(): RouterDouble {
+    val router = RouterDouble(budget = 1_000_000)
+    router.generosity = 0
+    router.started()
+    router.isCutOff = true
+    router.run(400)
+    return router
+}
+
+private fun RouterDouble.reachGenerousLeader() {
+    isCutOff = false
+    generosity = Long.MAX_VALUE
+}
+
 private fun playRequests(random: Random) {
     val router = RouterDouble(budget = 40_000).started()
     repeat(120) {
