End the process when a log cannot be read as it is opened again

Cause: an exception other than a refused write, on the thread that opens the log again, ended that thread only; the JVM then ended with code 0 or stayed without a replica. Found by reading.

Change: it is logged and ends the process with code 70, as on the control thread. The test fails without the handler.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
@@ -88,7 +88,9 @@
     /** The waiting thread is no daemon: the control thread has ended, and the JVM ends when only daemons are left. */
     private fun refused(cause: StorageException) {
         listener.storageRefused(cause)
-        Thread(::reopen, REOPENING_THREAD).start()
+        val thread = Thread(::reopen, REOPENING_THREAD)
+        thread.setUncaughtExceptionHandler { _, failure -> listener.failed(failure) }
+        thread.start()
     }
 
     private fun reopen() {
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RunningReplicaTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RunningReplicaTest.kt
@@ -18,6 +18,7 @@
 import org.ibismoor.gateway.internal.control.RunningReplica
 import org.ibismoor.runtime.api.createClock
 import org.ibismoor.storage.api.MemoryStore
+import org.ibismoor.storage.api.RecordStore
 import org.ibismoor.storage.api.StorageException
 import org.ibismoor.storage.api.StorageFaultPlan
 import java.nio.file.Path
@@ -55,9 +56,21 @@
         eventually(5.seconds) { process.confirmed shouldBe listOf(1L, 3L) }
         process.failures.shouldBeEmpty()
     }
+
+    "a log that cannot be read when it is opened again ends the process" {
+        // Guards against a process that stays without a replica, or ends as if nothing had happened.
+        val memory = MemoryStore()
+        var openings = 0
+        val process = ProcessDouble(RecordStore { if (openings++ == 0) memory.open(it) else error("not a record") })
+        process.replica.start()
+        eventually(10.seconds) { process.replica.tables.leadingSince.shouldNotBeNull() }
+        memory.inject(StorageFaultPlan(capacityBytes = memory.sizeBytes))
+        process.publish(1)
+        eventually(5.seconds) { process.failures.shouldNotBeEmpty() }
+    }
 })
 
-private class ProcessDouble(store: MemoryStore) : ReplicaListener {
+private class ProcessDouble(store: RecordStore) : ReplicaListener {
     val confirmed = CopyOnWriteArrayList<Long>()
     val refusals = CopyOnWriteArrayList<StorageException>()
     val failures = CopyOnWriteArrayList<Throwable>()
