Quarantine a frequent fatal part whose crashes look like a loss of power

Callers of sound requests lost engines again and again: with 15 fatal requests a second, three and more engines crash within 100 ms, each on a request of its own. Such a group failure counted as no moment of crashes, so the part was found only after the engines had come back.

Cause: a group failure accused no part at all, although the fatal part was present at each of its crashes and no answer had ever begun on it.

Change: a part that was present at all crashes of a group failure, each time in another prompt, is quarantined if it is the only such part on which no answer has begun. Parts in use everywhere are cleared by the answers that routers report on them within 1 s. Suspects by moments are unchanged.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashCulprit.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashCulprit.kt
@@ -44,10 +44,12 @@
 
 /**
  * Parts that were present at as many crashes as a culprit, and on which no answer has ever begun; of these, the parts
- * that were present at most crashes, since the others may only have come with them.
+ * that were present at most crashes, since the others may only have come with them. If there are none, the only such
+ * part that was present at all crashes of a group failure, in a prompt of its own at each.
  */
 fun CrashEvidence.neverBegunParts(): List<String> =
     rankedParts().filter { it.row.begunAt == null && hasEnoughCrashes(it) }.firstRank().map { it.part }
+        .ifEmpty { neverBegunPartsOfGroupFailures() }
 
 private class RankedPart(val part: String, val row: CandidateRow, val moments: Int, val prompts: Int)
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashMoments.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashMoments.kt
@@ -11,7 +11,13 @@
 private const val MOMENT_MILLIS = 100L
 
 /** More crashes in one moment have a cause of their own, such as a loss of power. */
-private const val MAXIMUM_CRASHES_AT_ONCE = 2
+internal const val MAXIMUM_CRASHES_AT_ONCE = 2
+
+/** The crash with [number] and those of other engines of its group at the same moment. */
+internal fun CrashEvidence.crashesTogether(number: Long): Set<Long> {
+    val crash = crashes[number] ?: return emptySet()
+    return crashes.filterValues { it.group == crash.group && abs(it.at - crash.at) < MOMENT_MILLIS }.keys
+}
 
 /** Number of distinct moments of crashes at which [part] was present. */
 fun CrashEvidence.momentsOf(part: String): Int = candidates[part]?.let(::momentsOf) ?: 0
@@ -35,11 +41,8 @@
  * another one of them too was repeated in between, so these engines failed one after the other.
  */
 private fun CrashEvidence.isGroupFailure(row: CandidateRow, number: Long): Boolean {
-    val crash = crashes[number] ?: return true
-    val others = crashes.filter { (other, it) ->
-        other != number && it.group == crash.group && abs(it.at - crash.at) < MOMENT_MILLIS
-    }
+    val together = crashesTogether(number)
     val prompts = row.crashes[number].orEmpty()
-    val isChain = others.keys.any { other -> row.crashes[other].orEmpty().any { it in prompts } }
-    return others.size >= MAXIMUM_CRASHES_AT_ONCE && !isChain
+    val isChain = together.any { other -> other != number && row.crashes[other].orEmpty().any { it in prompts } }
+    return together.size > MAXIMUM_CRASHES_AT_ONCE && !isChain
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/QuarantineSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/QuarantineSystem.kt
@@ -25,6 +25,7 @@
 import org.ibismoor.coordination.api.firstCrashOf
 import org.ibismoor.coordination.api.momentsOf
 import org.ibismoor.coordination.api.neverBegunParts
+import org.ibismoor.coordination.api.partsOfGroupFailures
 import org.ibismoor.coordination.api.suspects
 import org.ibismoor.coordination.api.withCleared
 import org.ibismoor.coordination.api.withoutExpired
@@ -136,7 +137,8 @@
     }
 
     private fun QuarantineTables.withSuspects(now: Timestamp): QuarantineTables {
-        val parts = evidence.suspects().filter { it !in quarantines }.take(MAXIMUM_SUSPECTS)
+        val implicated = evidence.suspects() + evidence.partsOfGroupFailures()
+        val parts = implicated.distinct().filter { it !in quarantines }.take(MAXIMUM_SUSPECTS)
         return copy(suspects = parts.associateWith { suspects[it] ?: now }.toPersistentHashMap())
     }
 
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/CrashEvidenceTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/CrashEvidenceTest.kt
@@ -119,6 +119,23 @@
         chain(intervalMillis = 40) { "own-$it" }.suspects().shouldBeEmpty()
     }
 
+    "the only part without an answer that was present at all crashes of a group failure is named" {
+        // Guards against a frequent fatal part whose crashes at many engines look like a loss of power.
+        val shared = CrashEvidence().withCleared("shared", Timestamp(500))
+        groupFailure(shared) { listOf("shared", FATAL, "session-$it") }.neverBegunParts() shouldBe listOf(FATAL)
+    }
+
+    "no part is named after a group failure if several without an answer were present at all its crashes" {
+        // Guards against a quarantine of sound parts after a loss of power soon after the start of the routers.
+        groupFailure(CrashEvidence()) { listOf("shared", FATAL) }.neverBegunParts().shouldBeEmpty()
+    }
+
+    "a part without an answer that was present at some crashes of a group failure is not named" {
+        // Guards against a quarantine of a new prompt part that some engines were reading when they lost power.
+        groupFailure(CrashEvidence()) { if (it == 0) listOf("session") else listOf(FATAL) }.neverBegunParts()
+            .shouldBeEmpty()
+    }
+
     "evidence expires" {
         val evidence = threeCrashes().withBegun(FATAL, Timestamp(4_000))
         evidence.withoutExpired(Timestamp(40_000)) shouldBe CrashEvidence(nextCrash = 4)
@@ -159,6 +176,14 @@
         table.crash("engine-$index", 1_000 + index * intervalMillis, own(index))
     }
 
+/** Four engines that fail within a moment, each with a prompt of the parts that [partsOf] returns for its index. */
+private fun groupFailure(before: CrashEvidence, partsOf: (Int) -> List<String>): CrashEvidence =
+    (0..3).fold(before) { table, index ->
+        partsOf(index).fold(table) { evidence, part ->
+            evidence.crash("engine-$index", 1_000L + index * 20, "own-$index", part)
+        }
+    }
+
 private fun threeCrashes(part: String = FATAL): CrashEvidence = crashes(answers = 20, part)
 
 private fun crashes(answers: Int, part: String = FATAL): CrashEvidence =
