--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -35,6 +35,8 @@
     val mayHaveRun: Boolean = false,
     /** The caller has received part of the answer. */
     val isAnswerStarted: Boolean = false,
+    /** When the first event of a stream arrived from an upstream. */
+    val firstEventAt: Timestamp? = null,
 )
 
 sealed interface RequestPhase
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -60,6 +60,7 @@
             phase = phase.copy(pendingPromptTokens = 0),
             mayHaveRun = true,
             isAnswerStarted = true,
+            firstEventAt = request.firstEventAt ?: now,
         )
         return tables
             .withUpdatedUpstream(phase) {
@@ -120,6 +121,8 @@
             "route" to request.route.id,
             "attempts" to request.triedUpstreams.size,
             "events" to result.events,
+            "input_tokens" to request.head.prompt?.inputTokens,
+            "first_event_ms" to request.firstEventAt?.let { it - request.arrivedAt },
             "took_ms" to now - request.arrivedAt,
         )
         return ForwardingStep(tables.withoutRequest(request, cost), listOf(decision))
