Keep callers from routers that are separated from the leader

Change: a router that has lost the leader asks the listed routers whether they have contact, after each lost report, and leaves out those that have none. Routers that do not answer stay in the list; if all are separated, all stay.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
@@ -3,6 +3,8 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.core.api.Timestamp
 
@@ -12,6 +14,8 @@
     /** Hosts of control processes in the settings. */
     val seedHosts: List<String> = controlHosts,
     val routers: List<RouterEntry> = emptyList(),
+    /** Addresses of [routers] that have no contact with the leader; known only while this router has none either. */
+    val separatedRouters: PersistentSet<String> = persistentHashSetOf(),
     val upstreamRevision: Long = 0,
     /** When the leader last answered. */
     val leaderAnsweredAt: Timestamp? = null,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -64,6 +64,9 @@
     val pendingPromptTokens: PersistentMap<UpstreamId, Long>,
 ) : ForwardingEffect
 
+/** Ask the routers at [addresses] for their contact with the leader. Answers are posted as [ContactAnswered]. */
+data class AskContact(val addresses: List<String>) : ForwardingEffect
+
 /** Fetch the configuration of [version], or a newer one, from the control process on [host]. */
 data class FetchConfiguration(val version: Long, val host: String) : ForwardingEffect
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -50,5 +50,8 @@
 data class LoadNoticeReceived(val from: String, val pendingPromptTokens: PersistentMap<UpstreamId, Long>) :
     ForwardingMessage
 
+/** The router at [from] has said whether it has contact with the leader. */
+data class ContactAnswered(val from: String, val hasLeader: Boolean) : ForwardingMessage
+
 /** Reloaded settings list the [hosts] of control processes. */
 data class ControlHostsChanged(val hosts: List<String>) : ForwardingMessage
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
@@ -9,5 +9,6 @@
     const val CONSENSUS: String = "/internal/v1/log"
     const val LOAN: String = "/internal/v1/loan"
     const val LOAD_NOTICE: String = "/internal/v1/use"
+    const val CONTACT: String = "/internal/v1/contact"
     const val JOIN: String = "/internal/v1/join"
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.ApplyConfiguration
+import org.ibismoor.forwarding.api.AskContact
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.FetchConfiguration
@@ -27,6 +28,7 @@
 import org.ibismoor.forwarding.api.SendReport
 import org.ibismoor.forwarding.api.callerAddresses
 import org.ibismoor.forwarding.api.createForwarding
+import org.ibismoor.forwarding.api.hasLeaderContact
 import org.ibismoor.forwarding.api.initialForwarding
 import org.ibismoor.gateway.api.PlatformFormats
 import org.ibismoor.gateway.api.RouterProcess
@@ -73,6 +75,8 @@
     private val traffic = RouterTraffic(group, pool, formats.dialect, meters, loop::post)
     private val loans = Loans(client, settings.routerPort, loop::post)
     private val notices = LoadNotices(client, settings.routerPort, meters, loop::post)
+    private val contacts =
+        ContactQueries(client, settings.routerPort, { loop.tables.hasLeaderContact(clock.now()) }, loop::post)
     private val fetcher =
         ConfigurationFetcher(DocumentClient(group, pool), settings.controlPort, formats.configuration, loop::post)
     private var controlJob: Job? = null
@@ -108,6 +112,7 @@
                 is SendReport -> sendReport(effect)
                 is FetchConfiguration -> fetcher.fetch(effect)
                 is SendLoadNotice -> notices.send(effect)
+                is AskContact -> contacts.ask(effect)
                 is RequestLoan -> loans.requestLoan(effect)
                 is AnswerLoan -> loans.answerLoan(effect)
                 is ApplyConfiguration -> traffic.limits = effect.configuration.limits
@@ -125,6 +130,7 @@
         when (request.path) {
             InternalPaths.LOAN -> loans.handle(request)
             InternalPaths.LOAD_NOTICE -> notices.handle(request)
+            InternalPaths.CONTACT -> contacts.handle()
             else -> CompletableFuture.completedFuture(SimpleAnswer(STATUS_NOT_FOUND))
         }
 
