Record spending limits on a router's disk, so that its tokens outlive it

Cause: nothing outside a router knows what it has spent since its last report, so all that an ended session held counts as spent.

Its next session names the limits of the ended one in its first report, and the leader returns what is beyond them to the budget. Such routers hold tokens for up to 10 s, and for half of what is left of a budget. A lost disk proves nothing, so all stays spent as before. A disk that fails or hangs ends the recording: the leader commits that before the router spends beyond its limits.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -15,6 +15,7 @@
 private const val COLOCATED_HORIZON_MILLIS = 0L
 private const val DEFAULT_HORIZON_MILLIS = 10_000L
 private const val HORIZON_DIVISOR = 5L
+private const val RECORDED_HORIZON_DIVISOR = 2L
 private const val PERSISTENT_CALLERS_PERCENT = 95L
 private const val MINIMUM_ELECTION_MILLIS = 450L
 private const val MAXIMUM_ELECTION_MILLIS = 900L
@@ -46,8 +47,8 @@
     /** Interval of join requests, and the delay before the first one. */
     val joinRetryMillis: Long = JOIN_RETRY_MILLIS,
     /**
-     * Demand for which a colocated router may hold tokens in advance. With 0 it requests the tokens of each request, at
-     * the cost of a round trip, so that a crash of the router strands none.
+     * Demand for which a colocated router that does not record its spending may hold tokens in advance. With 0 it
+     * requests the tokens of each request, at the cost of a round trip, so that a crash of the router strands none.
      */
     val colocatedHorizonMillis: Long = COLOCATED_HORIZON_MILLIS,
     /** Longest horizon of other routers, which a network partition may separate from the control processes. */
@@ -57,6 +58,8 @@
      * all VMs strands a bounded part of what is left.
      */
     val horizonDivisor: Long = HORIZON_DIVISOR,
+    /** The same for a router that records its spending, which strands little of what it holds. */
+    val recordedHorizonDivisor: Long = RECORDED_HORIZON_DIVISOR,
     /**
      * Percentage of an organisation's demand above which its callers count as persistent callers of one router. Such a
      * router holds tokens for a network partition even if it is colocated.
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
@@ -2,7 +2,7 @@
  * Computes the allowances in the leader's answer to a report. Whether a router may hold tokens in advance depends on
  * the effect of a network partition. A colocated router stays with the control process on its VM, so only organisations
  * with persistent callers at it lack tokens when that VM alone is cut off. A loss of power of all VMs strands what
- * routers hold in advance, so they hold less as a budget runs out.
+ * routers hold in advance, so they hold less as a budget runs out. A router that records its spending strands little.
  */
 package org.ibismoor.coordination.internal
 
@@ -12,6 +12,7 @@
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.RouterReport
+import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.OrganisationId
 
 private const val PERCENT = 100
@@ -27,6 +28,9 @@
     private val isCallerRouter = callers.any { it.entry.address == report.entry.address }
     private val isColocated = tables.routers[report.router]?.let(tables::isColocated) ?: false
 
+    /** What the router holds in advance returns to the budget if its session ends. */
+    private val isRecording = report.recording == SpendingRecording.RECORDED
+
     fun updates(): List<AllowanceUpdate> = report.usage.map(::updateFor)
 
     private fun updateFor(usage: AllowanceUsage): AllowanceUpdate {
@@ -44,7 +48,7 @@
             evenDemandPerSecond = if (isCallerRouter) demand / callers.size else 0.0,
             horizonMillis = when {
                 unissued < 0 -> 0
-                isColocated && !hasPersistentCallers(usage, demand) -> settings.colocatedHorizonMillis
+                isColocated && !isRecording && !hasPersistentCallers(usage, demand) -> settings.colocatedHorizonMillis
                 else -> minOf(settings.defaultHorizonMillis, affordableHorizonMillis(unspent, demand))
             },
         )
@@ -61,7 +65,7 @@
      */
     private fun affordableHorizonMillis(unspent: Long, demand: Double): Long {
         val millisLeft = unspent.coerceAtLeast(0) * MILLIS_PER_SECOND / demand.coerceAtLeast(1.0)
-        return millisLeft.toLong() / settings.horizonDivisor
+        return millisLeft.toLong() / if (isRecording) settings.recordedHorizonDivisor else settings.horizonDivisor
     }
 
     /** Tokens spent by running sessions according to the log or to a more recent report. */
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.coordination.api.RouterRow
 import org.ibismoor.coordination.api.RouterState
 import org.ibismoor.coordination.api.SessionAllowance
+import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.coordination.api.bootstrapRecords
 import org.ibismoor.coordination.api.bootstrapReplica
 import org.ibismoor.coordination.api.restoreCoordination
@@ -51,6 +52,15 @@
             SETTINGS.defaultHorizonMillis
     }
 
+    "a colocated router that records its spending holds tokens in advance, for up to half of what is left" {
+        // Guards against a router that refuses all callers while its VM is separated from the leader.
+        val horizons = listOf(0L, 800L, 1_000L).map { spent ->
+            val row = BudgetRow(ended = spent, endedSettled = spent)
+            recordingAllowanceAt(COLOCATED_HOST, stateOf(row), demand = 50.0).horizonMillis
+        }
+        horizons shouldBe listOf(5_000, 1_000, 0)
+    }
+
     "the first router that reports to a new leader does not count as the only one" {
         // Guards against a router that draws tokens of all organisations in advance after an election and strands them.
         val report = reportOf(COLOCATED_HOST, demand = 99.0)
@@ -103,6 +113,13 @@
     return reportAnswer(tables, report, SETTINGS).allowances.single()
 }
 
+private fun recordingAllowanceAt(host: String, state: CoordinationState, demand: Double): AllowanceUpdate {
+    val report = reportOf(host, demand).copy(recording = SpendingRecording.RECORDED)
+    val others = listOf(reportOf(OTHER_HOST, demand))
+    val tables = leaderTables(state, others + report, SETTINGS.routerDiscoveryMillis)
+    return reportAnswer(tables, report, SETTINGS).allowances.single()
+}
+
 /** Tables of a replica that has been the leader for [leadingMillis] and has received [reports]. */
 internal fun leaderTables(
     state: CoordinationState,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -28,6 +28,7 @@
     /** Requests that wait for an upstream or for tokens. */
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
     val prompts: PromptTables = PromptTables(),
+    val spending: SpendingRow = SpendingRow(),
 ) {
     val state: RouterState
         get() = when {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -22,6 +22,7 @@
             ConfigurationSystem(settings),
             ArrivalSystem(settings),
             LoanSystem(settings),
+            SpendingSystem(),
             CrashEvidenceSystem(settings),
             AttemptSystem(settings),
             AllowanceSystem(settings),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -7,6 +7,7 @@
 
 import org.ibismoor.coordination.api.AllowanceUsage
 import org.ibismoor.coordination.api.RouterReport
+import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
@@ -74,10 +75,13 @@
             usage = usage,
             isFetchingConfigurations = true,
             prompts = promptEvidence(tables.prompts, settings.router, now),
+            recording = tables.spending.recording,
+            endedSessions = tables.spending.endedSessions.takeIf { tables.fleet.leaderAnsweredAt == null }.orEmpty(),
         )
         val fleet = tablesWithDemand.fleet.copy(isReporting = true, lastReportAt = now)
+        val spending = tables.spending.copy(isStopReported = report.recording == SpendingRecording.STOPPED)
         val effect = SendReport(fleet.controlHosts.first(), report)
-        return ForwardingStep(tablesWithDemand.copy(fleet = fleet), listOf(effect))
+        return ForwardingStep(tablesWithDemand.copy(fleet = fleet, spending = spending), listOf(effect))
     }
 
     /** Organisations with a budget whose tokens this router holds, requests or has used. */
@@ -96,7 +100,7 @@
         val demand = row.demandPerSecond * (1 - weight) + row.reservedSinceReport / seconds * weight
         val measuredRow = row.copy(demandPerSecond = demand, reservedSinceReport = 0)
         val keptTokens = (targetTokens(tables, organisation, measuredRow) * returnThreshold(tables)).toLong()
-        val surplus = (measuredRow.available - keptTokens).coerceAtLeast(0)
+        val surplus = (measuredRow.unreserved - keptTokens).coerceAtLeast(0)
         return tables.withAllowance(organisation, measuredRow.copy(returned = measuredRow.returned + surplus))
     }
 
@@ -107,10 +111,10 @@
 
     private fun wantedTokens(tables: ForwardingTables, organisation: OrganisationId, row: AllowanceRow): Long {
         val target = targetTokens(tables, organisation, row)
-        val isLow = row.available < target * REFILL_THRESHOLD
+        val isLow = row.unreserved < target * REFILL_THRESHOLD
         return when {
             tables.isDraining -> row.shortfall
-            isLow || row.shortfall > 0 -> (target - row.available).coerceAtLeast(0) + row.shortfall
+            isLow || row.shortfall > 0 -> (target - row.unreserved).coerceAtLeast(0) + row.shortfall
             else -> 0
         }
     }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -42,6 +42,7 @@
 import org.ibismoor.forwarding.api.RouteTarget
 import org.ibismoor.forwarding.api.SendAttempt
 import org.ibismoor.forwarding.api.SendReport
+import org.ibismoor.forwarding.api.SpendingRow
 import org.ibismoor.forwarding.api.WorkKind
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
@@ -52,7 +53,11 @@
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
-internal class RouterHarness(private val budget: Long? = null, session: SessionId = SessionId("a")) {
+internal class RouterHarness(
+    private val budget: Long? = null,
+    session: SessionId = SessionId("a"),
+    spending: SpendingRow = SpendingRow(),
+) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
         entry = OWN_ENTRY,
@@ -74,7 +79,7 @@
     /** Control processes answer no report. */
     var isControlUnreachable = false
 
-    var tables = initialForwarding(settings, session, seed = 1, now = now)
+    var tables = initialForwarding(settings, session, seed = 1, now = now, spending = spending)
         private set
     val effects = mutableListOf<ForwardingEffect>()
 
