Leave the tokens of callers that stay at one router to that router

Cause: each router for callers held tokens for an even part of the demand of every organisation, also of callers that had stayed elsewhere.

Measured: the new case of AllowanceUpdateTest fails before and passes now.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
@@ -45,7 +45,7 @@
             issued = row.sessions[report.session]?.issued ?: 0,
             unissued = unissued,
             unspent = unspent,
-            evenDemandPerSecond = if (isCallerRouter) demand / callers.size else 0.0,
+            evenDemandPerSecond = evenDemand(organisation, demand),
             horizonMillis = when {
                 unissued < 0 -> 0
                 isColocated && !isRecording && !hasPersistentCallers(usage, demand) -> settings.colocatedHorizonMillis
@@ -54,7 +54,14 @@
         )
     }
 
-    /** True if nearly all of the organisation's [demand] arrives at this router. */
+    /** Callers may move here from the other routers, unless they have stayed at one of these. */
+    private fun evenDemand(organisation: OrganisationId, demand: Double): Double {
+        val others = routers.filter { it.session != report.session }.mapNotNull { it.usage[organisation] }
+        val isExpected = isCallerRouter && others.none { hasPersistentCallers(it, demand) }
+        return if (isExpected) demand / callers.size else 0.0
+    }
+
+    /** True if nearly all of the organisation's [demand] arrives at the router that reported [usage]. */
     private fun hasPersistentCallers(usage: AllowanceUsage, demand: Double): Boolean =
         tables.isRouterDiscoveryComplete(settings) &&
             usage.demandPerSecond * PERCENT > demand * settings.persistentCallersPercent
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
@@ -52,6 +52,17 @@
             SETTINGS.defaultHorizonMillis
     }
 
+    "no router expects a share of the demand of callers that stay at another one" {
+        // Guards against tokens that wait at routers without callers while the router with all callers refuses them.
+        val others = listOf(reportOf(OTHER_HOST, demand = 50.0))
+        allowanceAt(COLOCATED_HOST, stateOf(BudgetRow()), others = others).evenDemandPerSecond shouldBe 0.0
+    }
+
+    "a router without demand expects a share of that of callers at several others" {
+        val others = listOf(reportOf(OTHER_HOST, demand = 30.0), reportOf("10.0.0.8", demand = 30.0))
+        allowanceAt(COLOCATED_HOST, stateOf(BudgetRow()), others = others).evenDemandPerSecond shouldBe 20.0
+    }
+
     "a colocated router that records its spending holds tokens in advance, for up to half of what is left" {
         // Guards against a router that refuses all callers while its VM is separated from the leader.
         val horizons = listOf(0L, 800L, 1_000L).map { spent ->
