Refuse requests late in a drain that may outlast it

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut off with no answer at its end, among them such that may not be repeated. It could happen here: a router admits whatever comes on a kept connection until 4.5 s of a drain, or later on one whose request was half read, and exits at 7.2 s; a stream may take 15 s.

Change: from 2.5 s of a drain on, a request that its caller and its route let last beyond 7.2 s is refused as not run, with 40 ms to come back, since other routers serve. Shorter ones are served.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.SeededRandom
 import org.ibismoor.core.api.SessionId
+import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
 
@@ -19,7 +20,8 @@
     val fleet: FleetRow,
     val configuration: ForwardingConfiguration? = null,
     val configurationStatus: ConfigurationStatus = ConfigurationStatus(),
-    val isDraining: Boolean = false,
+    /** Start of the planned stop of the process; null if there is none. */
+    val drainStartedAt: Timestamp? = null,
     val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentHashMapOf(),
     val retries: PersistentMap<UpstreamGroupId, RetryRow> = persistentHashMapOf(),
     val requests: PersistentMap<RequestNumber, RequestRow> = persistentHashMapOf(),
@@ -30,6 +32,8 @@
     val prompts: PromptTables = PromptTables(),
     val spending: SpendingRow = SpendingRow(),
 ) {
+    val isDraining: Boolean get() = drainStartedAt != null
+
     val state: RouterState
         get() = when {
             isDraining -> RouterState.DRAINING
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -14,7 +14,9 @@
 private const val MAXIMUM_CONFIGURATION_AGE_MILLIS = 2_000L
 private const val RETRY_AFTER_MILLIS = 250L
 private const val START_RETRY_AFTER_MILLIS = 1_000L
-private const val CONTROL_LOST_RETRY_AFTER_MILLIS = 40L
+private const val OTHER_ROUTER_RETRY_AFTER_MILLIS = 40L
+private const val DRAIN_ADMISSION_MILLIS = 2_500L
+private const val MAXIMUM_DRAIN_MILLIS = 7_200L
 private const val MAXIMUM_ELECTION_MILLIS = 1_700L
 private const val FIRST_EJECTION_MILLIS = 1_000L
 private const val MAXIMUM_EJECTION_MILLIS = 8_000L
@@ -50,8 +52,12 @@
     val retryAfterMillis: Long = RETRY_AFTER_MILLIS,
     /** The same before the router has a configuration: the time from its start to the leader's first answer. */
     val startRetryAfterMillis: Long = START_RETRY_AFTER_MILLIS,
-    /** The same without contact with the control processes. It is short, since another router can serve at once. */
-    val controlLostRetryAfterMillis: Long = CONTROL_LOST_RETRY_AFTER_MILLIS,
+    /** The same if another router can serve at once: without contact with the control processes, or in a drain. */
+    val otherRouterRetryAfterMillis: Long = OTHER_ROUTER_RETRY_AFTER_MILLIS,
+    /** Later in a drain, requests that may last beyond its end are refused. */
+    val drainAdmissionMillis: Long = DRAIN_ADMISSION_MILLIS,
+    /** The process exits this long after the start of a drain, even with open requests. */
+    val maximumDrainMillis: Long = MAXIMUM_DRAIN_MILLIS,
     /** Duration of the first ejection of an upstream; it doubles with each further one. */
     val firstEjectionMillis: Long = FIRST_EJECTION_MILLIS,
     val maximumEjectionMillis: Long = MAXIMUM_EJECTION_MILLIS,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
@@ -22,6 +22,7 @@
 import org.ibismoor.forwarding.api.LogDecision
 import org.ibismoor.forwarding.api.RefuseRequest
 import org.ibismoor.forwarding.api.RequestArrived
+import org.ibismoor.forwarding.api.RequestHead
 import org.ibismoor.forwarding.api.RequestRow
 import org.ibismoor.forwarding.api.RouteRow
 
@@ -45,10 +46,25 @@
             route == null -> refuse(tables, message, unlessOutdated(RefusalReason.UNKNOWN_ROUTE, tables, now), now)
             isKeyRequired && organisation == null ->
                 refuse(tables, message, unlessOutdated(RefusalReason.UNAUTHENTICATED, tables, now), now)
+            tables.endsBefore(now + waitMillis(head, route), now) ->
+                refuse(tables, message, RefusalReason.DRAINING, now)
             else -> acceptRequest(tables, message, Admission(configuration, route, organisation), now)
         }
     }
 
+    /** True late in a drain if the process may exit before [dueAt], when it would cut the request off. */
+    private fun ForwardingTables.endsBefore(dueAt: Timestamp, now: Timestamp): Boolean {
+        val times = settings.times
+        val startedAt = drainStartedAt ?: return false
+        return now - startedAt > times.drainAdmissionMillis && dueAt > startedAt + times.maximumDrainMillis
+    }
+
+    /** How long the caller and the route let the request wait for its answer, in milliseconds. */
+    private fun waitMillis(head: RequestHead, route: RouteRow): Long {
+        val callerWaitMillis = head.deadlineMillis?.minus(settings.times.answerMarginMillis) ?: Long.MAX_VALUE
+        return minOf(callerWaitMillis, route.timeoutMillis).coerceAtLeast(0)
+    }
+
     /** The [reason], unless a configuration that this router lacks may allow the request: callers do not retry then. */
     private fun unlessOutdated(reason: RefusalReason, tables: ForwardingTables, now: Timestamp): RefusalReason {
         val isCurrent = tables.isConfigurationCurrent(now, settings.times.maximumConfigurationAgeMillis)
@@ -59,6 +75,7 @@
         when (reason) {
             RefusalReason.NOT_READY -> settings.times.startRetryAfterMillis
             RefusalReason.CONFIGURATION_OUTDATED -> settings.times.retryAfterMillis
+            RefusalReason.DRAINING -> settings.times.otherRouterRetryAfterMillis
             else -> null
         }
 
@@ -89,7 +106,6 @@
     ): ForwardingStep {
         val route = admission.route
         val organisation = admission.configuration.organisations[admission.organisation]
-        val callerWaitMillis = message.head.deadlineMillis?.minus(settings.times.answerMarginMillis) ?: Long.MAX_VALUE
         val group = chooseTarget(route, tables.random)
         val request = RequestRow(
             number = message.number,
@@ -99,7 +115,7 @@
             organisation = organisation?.id,
             priority = organisation?.priority ?: route.priority,
             arrivedAt = now,
-            dueAt = now + minOf(callerWaitMillis, route.timeoutMillis).coerceAtLeast(0),
+            dueAt = now + waitMillis(message.head, route),
             phase = AwaitingUpstream,
         )
         val next = tables.copy(
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
@@ -31,7 +31,7 @@
             isAllowanceWaitOver -> {
                 val times = settings.times
                 val isControlLost = tables.isControlLost(now, settings)
-                val retryAfter = if (isControlLost) times.controlLostRetryAfterMillis else times.retryAfterMillis
+                val retryAfter = if (isControlLost) times.otherRouterRetryAfterMillis else times.retryAfterMillis
                 refuseForAllowance(tables, request, RefusalReason.SHARE_EXHAUSTED, retryAfter, now)
             }
             request.dueAt <= now -> refuseOverdue(tables, request, now)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -47,7 +47,7 @@
 
     private fun startDrain(tables: ForwardingTables, now: Timestamp): ForwardingStep =
         ForwardingStep(
-            tables.copy(isDraining = true, fleet = tables.fleet.copy(nextReportAt = now)),
+            tables.copy(drainStartedAt = now, fleet = tables.fleet.copy(nextReportAt = now)),
             listOf(logDecision(DecisionKind.DRAIN_STARTED, null, "requests" to tables.requests.size)),
         )
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterSettings.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterSettings.kt
@@ -24,7 +24,6 @@
 
 private const val STOP_LISTENING_AFTER_MILLIS = 2_200L
 private const val CLOSE_IDLE_AFTER_MILLIS = 4_500L
-private const val TERMINATE_AFTER_MILLIS = 7_200L
 
 /** Steps of a drain, in milliseconds after its start. */
 data class DrainTimes(
@@ -32,6 +31,4 @@
     val stopListeningAfterMillis: Long = STOP_LISTENING_AFTER_MILLIS,
     /** Idle connections are closed then. */
     val closeIdleAfterMillis: Long = CLOSE_IDLE_AFTER_MILLIS,
-    /** The process exits then, even with open requests. */
-    val terminateAfterMillis: Long = TERMINATE_AFTER_MILLIS,
 )
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -190,7 +190,8 @@
         waitUntil { clock.now() - startedAt >= times.closeIdleAfterMillis }
         group.execute { traffic.closeIdle() }
         waitUntil {
-            clock.now() - startedAt >= times.terminateAfterMillis || loop.tables.requests.isEmpty() && traffic.isIdle
+            val isOver = clock.now() - startedAt >= settings.forwarding.times.maximumDrainMillis
+            isOver || loop.tables.requests.isEmpty() && traffic.isIdle
         }
         log.write("stopped", "after_ms" to clock.now() - startedAt, "open_requests" to loop.tables.requests.size)
         log.close()
