Compute the leader's view of all routers at intervals

Callers of the large deployment met a leader whose work for each report grew with the number of routers: it summed the demand of every organisation over all routers, built a map of their spending for each organisation, and sorted the list of routers, 250 times a second with a hundred routers.

Change: FleetViewSystem computes the list for callers and the demand of each organisation every 100 ms, and reports read that. The list of routers is checked at the same interval. The spending of sessions is looked up by session, once for each report.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -29,6 +29,8 @@
     val proposals: PersistentMap<Long, Proposal> = persistentHashMapOf(),
     val reads: PersistentMap<Long, PendingRead> = persistentHashMapOf(),
     val routers: PersistentMap<RouterId, RouterRow> = persistentHashMapOf(),
+    /** Null at a replica that does not lead. */
+    val view: FleetView? = null,
     val upstreams: UpstreamList? = null,
     /** Rebuilt from reports after an election. */
     val quarantine: QuarantineTables = QuarantineTables(),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
@@ -11,6 +11,7 @@
 import org.ibismoor.coordination.api.BudgetRow
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationTables
+import org.ibismoor.coordination.api.DemandRow
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.OrganisationId
@@ -23,9 +24,9 @@
     private val report: RouterReport,
     private val settings: CoordinationSettings,
 ) {
-    private val routers = tables.routers.values
-    private val callers = callerRouters(tables, settings)
-    private val isCallerRouter = callers.any { it.entry.address == report.entry.address }
+    private val view = tables.currentView(settings)
+    private val isCallerRouter = view.callers.any { it.address == report.entry.address }
+    private val usageBySession by lazy { tables.routers.values.associate { it.session to it.usage } }
     private val isColocated = tables.routers[report.router]?.let(tables::isColocated) ?: false
 
     /** What the router holds in advance returns to the budget if its session ends. */
@@ -39,32 +40,40 @@
         val total = tables.state.configuration?.budgets?.get(organisation) ?: 0
         val unissued = total - row.outstanding
         val unspent = total - row.ended - settledByRunningSessions(row, organisation)
-        val demand = routers.sumOf { it.usage[organisation]?.demandPerSecond ?: 0.0 }
+        val demand = view.demands[organisation]
         return AllowanceUpdate(
             organisation = organisation,
             issued = row.sessions[report.session]?.issued ?: 0,
             unissued = unissued,
             unspent = unspent,
-            evenDemandPerSecond = evenDemand(organisation, demand),
+            evenDemandPerSecond = evenDemand(demand),
             horizonMillis = when {
                 unissued < 0 -> 0
-                isColocated && !isRecording && !hasPersistentCallers(usage, demand) -> settings.colocatedHorizonMillis
-                else -> minOf(settings.defaultHorizonMillis, affordableHorizonMillis(unspent, demand))
+                else -> minOf(maximumHorizonMillis(demand), affordableHorizonMillis(unspent, demand?.total ?: 0.0))
             },
         )
     }
 
+    private fun maximumHorizonMillis(demand: DemandRow?): Long {
+        val hasPersistentCallers = demand != null && isConcentrated(demand) && demand.highestSession == report.session
+        return when {
+            !isColocated || hasPersistentCallers -> settings.defaultHorizonMillis
+            isRecording -> settings.recordedHorizonMillis
+            else -> settings.colocatedHorizonMillis
+        }
+    }
+
     /** Callers may move here from the other routers, unless they have stayed at one of these. */
-    private fun evenDemand(organisation: OrganisationId, demand: Double): Double {
-        val others = routers.filter { it.session != report.session }.mapNotNull { it.usage[organisation] }
-        val isExpected = isCallerRouter && others.none { hasPersistentCallers(it, demand) }
-        return if (isExpected) demand / callers.size else 0.0
+    private fun evenDemand(demand: DemandRow?): Double {
+        val isExpected = demand != null && isCallerRouter &&
+            (demand.highestSession == report.session || !isConcentrated(demand))
+        return if (isExpected) demand.total / view.callers.size else 0.0
     }
 
-    /** True if nearly all of the organisation's [demand] arrives at the router that reported [usage]. */
-    private fun hasPersistentCallers(usage: AllowanceUsage, demand: Double): Boolean =
+    /** True if nearly all of the [demand] arrives at one router, whose callers then stay there. */
+    private fun isConcentrated(demand: DemandRow): Boolean =
         tables.isRouterDiscoveryComplete(settings) &&
-            usage.demandPerSecond * PERCENT > demand * settings.persistentCallersPercent
+            demand.highest * PERCENT > demand.total * settings.persistentCallersPercent
 
     /**
      * Time in which [demand] uses up the part of the [unspent] tokens that routers may hold in advance. Tokens that are
@@ -77,7 +86,8 @@
 
     /** Tokens spent by running sessions according to the log or to a more recent report. */
     private fun settledByRunningSessions(row: BudgetRow, organisation: OrganisationId): Long {
-        val reported = routers.associate { it.session to (it.usage[organisation]?.settled ?: 0) }
-        return row.sessions.entries.sumOf { (session, allowance) -> maxOf(allowance.settled, reported[session] ?: 0) }
+        return row.sessions.entries.sumOf { (session, allowance) ->
+            maxOf(allowance.settled, usageBySession[session]?.get(organisation)?.settled ?: 0)
+        }
     }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -32,6 +32,7 @@
             LeadershipSystem(),
             join,
             routers,
+            FleetViewSystem(settings),
             UpstreamListSystem(),
             QuarantineSystem(settings),
             ReportSystem(codec, settings),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -6,6 +6,7 @@
 
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationTables
+import org.ibismoor.coordination.api.FleetView
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterReport
 
@@ -32,7 +33,11 @@
 
 /** Null until router discovery is complete: an incomplete list would overload the routers on it. */
 private fun listedRouters(tables: CoordinationTables, settings: CoordinationSettings) =
-    callerRouters(tables, settings).map { it.entry }.takeIf { tables.isRouterDiscoveryComplete(settings) }
+    tables.currentView(settings).callers.takeIf { tables.isRouterDiscoveryComplete(settings) }
+
+/** The view of this tick, also for tables on which no system has run. */
+internal fun CoordinationTables.currentView(settings: CoordinationSettings): FleetView =
+    view ?: fleetView(this, settings, consensus.now)
 
 /** False at a new leader, which may not have received a report of each router yet. */
 internal fun CoordinationTables.isRouterDiscoveryComplete(settings: CoordinationSettings): Boolean {
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/RouterSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/RouterSystem.kt
@@ -26,7 +26,7 @@
         if (tables.leadingSince == null) return CoordinationStep(tables)
         val reports = tick.messages.filterIsInstance<ReportReceived>().map { it.report }
         val updated = reports.fold(tables) { table, report -> recordReport(table, report, tick.now) }
-        return updateList(updated, tick.now)
+        return if (isViewDue(updated, tick.now)) updateList(updated, tick.now) else CoordinationStep(updated)
     }
 
     fun nextDue(tables: CoordinationTables): Timestamp? =
