--- a/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
@@ -69,7 +69,7 @@
             val row = BudgetRow(ended = spent, endedSettled = spent)
             recordingAllowanceAt(COLOCATED_HOST, stateOf(row), demand = 50.0).horizonMillis
         }
-        horizons shouldBe listOf(5_000, 1_000, 0)
+        horizons shouldBe listOf(SETTINGS.recordedHorizonMillis, 1_000, 0)
     }
 
     "the first router that reports to a new leader does not count as the only one" {
