Let recording routers hold tokens for their own callers only

Cause: each recording router held tokens for an even part of the demand of every organisation, and the three together up to half of what was left. In a cut the part of the separated one is out of reach.

Change: a recording router expects no demand but its own, since it stays with a control process that has tokens for callers that move to it. It holds at most a fifth of what is left, like others; for callers that stay at it alone, up to all that is left, and more than a quarter of a budget.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -16,7 +16,6 @@
 private const val RECORDED_HORIZON_MILLIS = 4_000L
 private const val DEFAULT_HORIZON_MILLIS = 10_000L
 private const val HORIZON_DIVISOR = 5L
-private const val RECORDED_HORIZON_DIVISOR = 2L
 private const val PERSISTENT_CALLERS_PERCENT = 95L
 private const val MINIMUM_ELECTION_MILLIS = 450L
 private const val MAXIMUM_ELECTION_MILLIS = 900L
@@ -64,8 +63,6 @@
      * all VMs strands a bounded part of what is left.
      */
     val horizonDivisor: Long = HORIZON_DIVISOR,
-    /** The same for a router that records its spending, which strands little of what it holds. */
-    val recordedHorizonDivisor: Long = RECORDED_HORIZON_DIVISOR,
     /**
      * Percentage of an organisation's demand above which its callers count as persistent callers of one router. Such a
      * router holds tokens for a network partition even if it is colocated.
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
@@ -49,23 +49,29 @@
             evenDemandPerSecond = evenDemand(demand),
             horizonMillis = when {
                 unissued < 0 -> 0
-                else -> minOf(maximumHorizonMillis(demand), affordableHorizonMillis(unspent, demand?.total ?: 0.0))
+                else -> horizonMillis(unspent, demand)
             },
         )
     }
 
-    private fun maximumHorizonMillis(demand: DemandRow?): Long {
+    private fun horizonMillis(unspent: Long, demand: DemandRow?): Long {
         val hasPersistentCallers = demand != null && isConcentrated(demand) && demand.highestSession == report.session
-        return when {
+        val maximumMillis = when {
             !isColocated || hasPersistentCallers -> settings.defaultHorizonMillis
             isRecording -> settings.recordedHorizonMillis
             else -> settings.colocatedHorizonMillis
         }
+        // Nobody else asks for the tokens of persistent callers, and the end of a recorded session strands few of them.
+        val divisor = if (isRecording && hasPersistentCallers) 1 else settings.horizonDivisor
+        return minOf(maximumMillis, millisLeft(unspent, demand?.total ?: 0.0) / divisor)
     }
 
-    /** Callers may move here from the other routers, unless they have stayed at one of these. */
+    /**
+     * Callers may move here from the other routers, unless they have stayed at one of these. A recording router expects
+     * only the demand that it has: it stays with a control process, which has tokens for callers that move to it.
+     */
     private fun evenDemand(demand: DemandRow?): Double {
-        val isExpected = demand != null && isCallerRouter &&
+        val isExpected = demand != null && isCallerRouter && !isRecording &&
             (demand.highestSession == report.session || !isConcentrated(demand))
         return if (isExpected) demand.total / view.callers.size else 0.0
     }
@@ -76,13 +82,11 @@
             demand.highest * PERCENT > demand.total * settings.persistentCallersPercent
 
     /**
-     * Time in which [demand] uses up the part of the [unspent] tokens that routers may hold in advance. Tokens that are
-     * held count as unspent. Otherwise holding them would shorten the horizon and returning them would extend it again.
+     * Time in which [demand] uses up the [unspent] tokens. Tokens that are held count as unspent. Otherwise holding
+     * them would shorten the horizon and returning them would extend it again.
      */
-    private fun affordableHorizonMillis(unspent: Long, demand: Double): Long {
-        val millisLeft = unspent.coerceAtLeast(0) * MILLIS_PER_SECOND / demand.coerceAtLeast(1.0)
-        return millisLeft.toLong() / if (isRecording) settings.recordedHorizonDivisor else settings.horizonDivisor
-    }
+    private fun millisLeft(unspent: Long, demand: Double): Long =
+        (unspent.coerceAtLeast(0) * MILLIS_PER_SECOND / demand.coerceAtLeast(1.0)).toLong()
 
     /** Tokens spent by running sessions according to the log or to a more recent report. */
     private fun settledByRunningSessions(row: BudgetRow, organisation: OrganisationId): Long {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -30,7 +30,10 @@
 /** A listed router holds at least a budget divided by this, so that a new organisation need not wait. */
 private const val MINIMUM_HELD_DIVISOR = 250L
 
-/** A router holds at most a budget divided by this. Persistent callers need much of their budget at one router. */
+/**
+ * A router without a spending record holds at most a budget divided by this. Persistent callers need much of their
+ * budget at one router.
+ */
 private const val MAXIMUM_HELD_DIVISOR = 4L
 
 /** Standard deviations of the demand within the horizon that are held beyond its mean. */
@@ -127,7 +130,8 @@
         val deviation = sqrt(mean * row.meanReservation)
         val demand = (mean + SAFETY_DEVIATIONS * deviation).toLong()
         val minimum = if (isListedForCallers(tables)) budget / MINIMUM_HELD_DIVISOR else 0
-        return if (isHoldingForbidden(row)) 0 else demand.coerceIn(minimum, budget / MAXIMUM_HELD_DIVISOR)
+        val maximum = if (tables.spending.isLimited) budget else budget / MAXIMUM_HELD_DIVISOR
+        return if (isHoldingForbidden(row)) 0 else demand.coerceIn(minimum, maximum)
     }
 
     /** The leader lists this router, so callers are directed to it. */
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SpendingRecordLoadTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SpendingRecordLoadTest.kt
@@ -34,6 +34,19 @@
         refusals shouldBeLessThanOrEqual SEEDS * PARTITION_SECONDS * REQUESTS_PER_SECOND / 20
     }
 
+    "callers that stay at such a router are served through a cut that needs over a quarter of their budget" {
+        // Guards against a limit of the tokens at one router that persistent callers spend in the first half of a cut.
+        val fleet = BudgetFleet(seed = 1, budget = 16 * REQUESTS_PER_SECOND * REQUEST_TOKENS, hasDisks = true).apply {
+            requestsPerSecond = REQUESTS_PER_SECOND
+            callerRouter = COLOCATED_ROUTER
+        }
+        fleet.run(8_000)
+        val before = fleet.refused
+        fleet.isPartitioned = true
+        fleet.run(6_000)
+        fleet.refused - before shouldBeLessThanOrEqual 6 * REQUESTS_PER_SECOND / 20
+    }
+
     "three losses of power strand at most two seconds of demand each" {
         // Guards against tokens that every restart takes from a budget because a router held them in advance.
         repeat(SEEDS) { seed ->
