Revert the spending records of routers with a disk

Tokens held in advance on the VMs of control processes, recorded on their disks so that a restart strands few of them, were tried in three forms.

The view of all routers, the contact queries and the rule on callers that stay at one router are kept.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/BudgetRow.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/BudgetRow.kt
@@ -1,7 +1,6 @@
 /**
  * Issued tokens of one organisation's budget. Tokens held by a session count as spent until it returns them. Tokens
- * that an ended session did not return stay spent, up to the limit that it had recorded on its disk, since it is
- * unknown whether it used them.
+ * that an ended session did not return stay spent, since it is unknown whether it used them.
  */
 package org.ibismoor.coordination.api
 
@@ -12,7 +11,7 @@
 
 @Serializable
 data class BudgetRow(
-    /** Tokens that ended sessions did not return and may have spent. */
+    /** Tokens that ended sessions did not return. */
     val ended: Long = 0,
     /** The part of [ended] that the sessions reported as spent. The rest is stranded. */
     val endedSettled: Long = 0,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
@@ -17,18 +17,14 @@
 @SerialName("publish")
 data class PublishConfiguration(val configuration: PublishedConfiguration) : CoordinationCommand
 
-/** Starts sessions, notes those that [stopped] recording, then moves tokens between budgets and sessions. */
+/** Starts sessions, then moves tokens between budgets and sessions. */
 @Serializable
 @SerialName("allowances")
-data class MoveAllowances(
-    val sessions: List<SessionStart>,
-    val moves: List<AllowanceMove>,
-    val stopped: List<RouterId> = emptyList(),
-) : CoordinationCommand
+data class MoveAllowances(val sessions: List<SessionStart>, val moves: List<AllowanceMove>) : CoordinationCommand
 
-/** A new [session] of [router]. It proves that the previous one has ended; [ended] is what its disk holds of that. */
+/** A new [session] of [router]. It proves that the previous session has ended. */
 @Serializable
-data class SessionStart(val router: RouterId, val session: SessionId, val ended: EndedSession? = null)
+data class SessionStart(val router: RouterId, val session: SessionId)
 
 /**
  * Issues [issued] additional tokens to [session]. [returned] and [settled] are the totals that the session has returned
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -13,7 +13,7 @@
 private const val JOIN_RETRY_MILLIS = 500L
 private const val COLOCATED_REQUESTS_PER_CORE = 100.0
 private const val COLOCATED_HORIZON_MILLIS = 0L
-private const val RECORDED_HORIZON_MILLIS = 4_000L
+private const val RECORDED_HORIZON_MILLIS = 10_000L
 private const val DEFAULT_HORIZON_MILLIS = 10_000L
 private const val HORIZON_DIVISOR = 5L
 private const val PERSISTENT_CALLERS_PERCENT = 95L
@@ -47,8 +47,8 @@
     /** Interval of join requests, and the delay before the first one. */
     val joinRetryMillis: Long = JOIN_RETRY_MILLIS,
     /**
-     * Demand for which a colocated router that does not record its spending may hold tokens in advance. With 0 it
-     * requests the tokens of each request, at the cost of a round trip, so that a crash of the router strands none.
+     * Demand for which a colocated router may hold tokens in advance. With 0 it requests the tokens of each request, at
+     * the cost of a round trip, so that a crash of the router strands none.
      */
     val colocatedHorizonMillis: Long = COLOCATED_HORIZON_MILLIS,
     /**
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
@@ -16,6 +16,4 @@
     /** The current session of each router. */
     val sessions: Table<RouterId, SessionId> = persistentHashMapOf(),
     val budgets: Table<OrganisationId, BudgetRow> = persistentHashMapOf(),
-    /** The current session of each router that has stopped to record its spending. */
-    val stoppedRecordings: Table<RouterId, SessionId> = persistentHashMapOf(),
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
@@ -26,7 +26,4 @@
     val isFetchingConfigurations: Boolean = false,
     /** Null if the router has nothing to report on prompt parts. */
     val prompts: PromptEvidence? = null,
-    val recording: SpendingRecording = SpendingRecording.NONE,
-    /** Earlier sessions of the router on its disk, until the leader has answered. */
-    val endedSessions: List<EndedSession> = emptyList(),
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/AllowanceUpdates.kt
@@ -2,7 +2,7 @@
  * Computes the allowances in the leader's answer to a report. Whether a router may hold tokens in advance depends on
  * the effect of a network partition. A colocated router stays with the control process on its VM, so only organisations
  * with persistent callers at it lack tokens when that VM alone is cut off. A loss of power of all VMs strands what
- * routers hold in advance, so they hold less as a budget runs out. A router that records its spending strands little.
+ * routers hold in advance, so they hold less as a budget runs out.
  */
 package org.ibismoor.coordination.internal
 
@@ -13,7 +13,6 @@
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.DemandRow
 import org.ibismoor.coordination.api.RouterReport
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.OrganisationId
 
 private const val PERCENT = 100
@@ -29,9 +28,6 @@
     private val usageBySession by lazy { tables.routers.values.associate { it.session to it.usage } }
     private val isColocated = tables.routers[report.router]?.let(tables::isColocated) ?: false
 
-    /** What the router holds in advance returns to the budget if its session ends. */
-    private val isRecording = report.recording == SpendingRecording.RECORDED
-
     fun updates(): List<AllowanceUpdate> = report.usage.map(::updateFor)
 
     private fun updateFor(usage: AllowanceUsage): AllowanceUpdate {
@@ -47,31 +43,22 @@
             unissued = unissued,
             unspent = unspent,
             evenDemandPerSecond = evenDemand(demand),
-            horizonMillis = when {
-                unissued < 0 -> 0
-                else -> horizonMillis(unspent, demand)
-            },
+            horizonMillis = if (unissued < 0) 0 else horizonMillis(unspent, demand),
         )
     }
 
-    private fun horizonMillis(unspent: Long, demand: DemandRow?): Long {
+    private fun horizonMillis(unspent: Long, demand: DemandRow?): Long =
+        minOf(maximumHorizonMillis(demand), affordableHorizonMillis(unspent, demand?.total ?: 0.0))
+
+    private fun maximumHorizonMillis(demand: DemandRow?): Long {
         val hasPersistentCallers = demand != null && isConcentrated(demand) && demand.highestSession == report.session
-        val maximumMillis = when {
-            !isColocated || hasPersistentCallers -> settings.defaultHorizonMillis
-            isRecording -> settings.recordedHorizonMillis
-            else -> settings.colocatedHorizonMillis
-        }
-        // Nobody else asks for the tokens of persistent callers, and the end of a recorded session strands few of them.
-        val divisor = if (isRecording && hasPersistentCallers) 1 else settings.horizonDivisor
-        return minOf(maximumMillis, millisLeft(unspent, demand?.total ?: 0.0) / divisor)
+        val isSeparable = !isColocated || hasPersistentCallers
+        return if (isSeparable) settings.defaultHorizonMillis else settings.colocatedHorizonMillis
     }
 
-    /**
-     * Callers may move here from the other routers, unless they have stayed at one of these. A recording router expects
-     * only the demand that it has: it stays with a control process, which has tokens for callers that move to it.
-     */
+    /** Callers may move here from the other routers, unless they have stayed at one of these. */
     private fun evenDemand(demand: DemandRow?): Double {
-        val isExpected = demand != null && isCallerRouter && !isRecording &&
+        val isExpected = demand != null && isCallerRouter &&
             (demand.highestSession == report.session || !isConcentrated(demand))
         return if (isExpected) demand.total / view.callers.size else 0.0
     }
@@ -82,16 +69,17 @@
             demand.highest * PERCENT > demand.total * settings.persistentCallersPercent
 
     /**
-     * Time in which [demand] uses up the [unspent] tokens. Tokens that are held count as unspent. Otherwise holding
-     * them would shorten the horizon and returning them would extend it again.
+     * Time in which [demand] uses up the part of the [unspent] tokens that routers may hold in advance. Tokens that are
+     * held count as unspent. Otherwise holding them would shorten the horizon and returning them would extend it again.
      */
-    private fun millisLeft(unspent: Long, demand: Double): Long =
-        (unspent.coerceAtLeast(0) * MILLIS_PER_SECOND / demand.coerceAtLeast(1.0)).toLong()
+    private fun affordableHorizonMillis(unspent: Long, demand: Double): Long {
+        val millisLeft = unspent.coerceAtLeast(0) * MILLIS_PER_SECOND / demand.coerceAtLeast(1.0)
+        return millisLeft.toLong() / settings.horizonDivisor
+    }
 
     /** Tokens spent by running sessions according to the log or to a more recent report. */
-    private fun settledByRunningSessions(row: BudgetRow, organisation: OrganisationId): Long {
-        return row.sessions.entries.sumOf { (session, allowance) ->
+    private fun settledByRunningSessions(row: BudgetRow, organisation: OrganisationId): Long =
+        row.sessions.entries.sumOf { (session, allowance) ->
             maxOf(allowance.settled, usageBySession[session]?.get(organisation)?.settled ?: 0)
         }
-    }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -22,7 +22,6 @@
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.SessionAllowance
 import org.ibismoor.coordination.api.SessionStart
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.Tick
 
 /**
@@ -55,9 +54,9 @@
         val exchanges = plan.deferred.map { PendingReport(it.reply, it.report) }
         val next = when {
             exchanges.isEmpty() -> tables
-            else -> proposeCommand(tables, codec.writeCommand(plan.command), exchanges)
+            else -> proposeCommand(tables, codec.writeCommand(MoveAllowances(plan.sessions, plan.moves)), exchanges)
         }
-        val starts = plan.command.sessions.map { sessionNotice(tables.state, it) }
+        val starts = plan.sessions.map { sessionNotice(tables.state, it) }
         val answers = plan.immediate.map { AnswerReport(it.reply, reportAnswer(tables, it.report, settings)) }
         return CoordinationStep(next, answers + starts)
     }
@@ -65,12 +64,9 @@
     private fun sessionNotice(state: CoordinationState, start: SessionStart): NotifySessionStart {
         val total = state.configuration?.budgets?.values.orEmpty().sum().coerceAtLeast(1)
         val earlier = state.sessions[start.router]
-        val recorded = recordOfEarlierSession(state, start)
-        val allowances = state.budgets.mapNotNull { (id, row) -> earlier?.let(row.sessions::get)?.let { id to it } }
-        val held = allowances.sumOf { (_, row) -> row.held }
-        val stranded = allowances.sumOf { (id, row) ->
-            (row.spentAtMost(recorded, id) - row.settled).coerceAtLeast(0)
-        }
+        val allowances = state.budgets.values.mapNotNull { row -> earlier?.let(row.sessions::get) }
+        val held = allowances.sumOf { it.held }
+        val stranded = allowances.sumOf { (it.held - it.settled).coerceAtLeast(0) }
         return NotifySessionStart(start.router, held * PER_MILLE / total, stranded * PER_MILLE / total)
     }
 
@@ -82,32 +78,19 @@
 
     private fun AllowancePlan.withReport(message: ReportReceived, isStateComplete: Boolean): AllowancePlan {
         val report = message.report
-        val command = MoveAllowances(
-            sessions = listOfNotNull(sessionStart(state, report)),
-            moves = report.usage.mapNotNull { moveFor(state, report, it) },
-            stopped = listOf(report.router).filter { isRecordingStopped(state, report) },
-        )
-        val isUnchanged = command == MoveAllowances(emptyList(), emptyList())
+        val start = SessionStart(report.router, report.session).takeIf { state.sessions[it.router] != it.session }
+        val moves = report.usage.mapNotNull { moveFor(state, report, it) }
         return when {
-            isUnchanged && isStateComplete -> copy(immediate = immediate + message)
+            start == null && moves.isEmpty() && isStateComplete -> copy(immediate = immediate + message)
             else -> copy(
-                state = applyCommand(state, command),
-                command = this.command + command,
+                state = applyCommand(state, MoveAllowances(listOfNotNull(start), moves)),
+                sessions = sessions + listOfNotNull(start),
+                moves = this.moves + moves,
                 deferred = deferred + message,
             )
         }
     }
 
-    private fun sessionStart(state: CoordinationState, report: RouterReport): SessionStart? {
-        val earlier = state.sessions[report.router]
-        val ended = report.endedSessions.firstOrNull { it.session == earlier }
-        return SessionStart(report.router, report.session, ended).takeIf { earlier != report.session }
-    }
-
-    /** Unless it is in the log already. The router spends beyond its limits only after the answer to this report. */
-    private fun isRecordingStopped(state: CoordinationState, report: RouterReport): Boolean =
-        report.recording == SpendingRecording.STOPPED && state.stoppedRecordings[report.router] != report.session
-
     private fun moveFor(state: CoordinationState, report: RouterReport, usage: AllowanceUsage): AllowanceMove? {
         val row = state.budgets[usage.organisation] ?: BudgetRow()
         val session = row.sessions[report.session] ?: SessionAllowance()
@@ -124,12 +107,10 @@
     /** Result of the reports of one tick; [state] already includes the planned moves. */
     private data class AllowancePlan(
         val state: CoordinationState,
-        val command: MoveAllowances = MoveAllowances(emptyList(), emptyList()),
+        val sessions: List<SessionStart> = emptyList(),
+        val moves: List<AllowanceMove> = emptyList(),
         /** Reports to answer once the planned command is committed. */
         val deferred: List<ReportReceived> = emptyList(),
         val immediate: List<ReportReceived> = emptyList(),
     )
 }
-
-private operator fun MoveAllowances.plus(other: MoveAllowances): MoveAllowances =
-    MoveAllowances(sessions + other.sessions, moves + other.moves, stopped + other.stopped)
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
@@ -9,23 +9,18 @@
 import org.ibismoor.coordination.api.BudgetRow
 import org.ibismoor.coordination.api.CoordinationCommand
 import org.ibismoor.coordination.api.CoordinationState
-import org.ibismoor.coordination.api.EndedSession
 import org.ibismoor.coordination.api.MoveAllowances
 import org.ibismoor.coordination.api.PublishConfiguration
 import org.ibismoor.coordination.api.PublishedConfiguration
 import org.ibismoor.coordination.api.SessionAllowance
 import org.ibismoor.coordination.api.SessionStart
 import org.ibismoor.core.api.OrganisationId
-import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 
 internal fun applyCommand(state: CoordinationState, command: CoordinationCommand): CoordinationState =
     when (command) {
         is PublishConfiguration -> publishConfiguration(state, command.configuration)
-        is MoveAllowances -> {
-            val started = command.sessions.fold(state, ::startSession)
-            command.moves.fold(command.stopped.fold(started, ::stopRecording), ::moveTokens)
-        }
+        is MoveAllowances -> command.moves.fold(command.sessions.fold(state, ::startSession), ::moveTokens)
     }
 
 /** Of two configurations with the same version, the first one in the log is in force. */
@@ -38,50 +33,16 @@
 private fun startSession(state: CoordinationState, start: SessionStart): CoordinationState {
     val earlier = state.sessions[start.router]
     if (earlier == start.session) return state
-    val recorded = recordOfEarlierSession(state, start)
     val budgets = state.budgets.mutate { table ->
-        if (earlier != null) {
-            table.entries.toList().forEach { (id, row) -> table[id] = row.withoutSession(earlier, recorded, id) }
-        }
+        if (earlier != null) table.entries.toList().forEach { (id, row) -> table[id] = row.withoutSession(earlier) }
     }
-    return state.copy(
-        sessions = state.sessions.put(start.router, start.session),
-        budgets = budgets,
-        stoppedRecordings = state.stoppedRecordings.remove(start.router),
-    )
+    return state.copy(sessions = state.sessions.put(start.router, start.session), budgets = budgets)
 }
 
-/** What the router recorded of the session that ends with [start]; null if it may have spent more. */
-internal fun recordOfEarlierSession(state: CoordinationState, start: SessionStart): EndedSession? {
-    val earlier = state.sessions[start.router]
-    val hasStopped = state.stoppedRecordings[start.router] == earlier
-    return start.ended?.takeIf { it.session == earlier && !hasStopped }
-}
-
-private fun BudgetRow.withoutSession(
-    session: SessionId,
-    recorded: EndedSession?,
-    organisation: OrganisationId,
-): BudgetRow {
+private fun BudgetRow.withoutSession(session: SessionId): BudgetRow {
     val row = sessions[session] ?: return this
     val settled = row.settled.coerceAtMost(row.held)
-    return BudgetRow(
-        ended + row.spentAtMost(recorded, organisation),
-        endedSettled + settled,
-        sessions.remove(session),
-    )
-}
-
-/** Tokens that the session may have spent, according to what it [recorded] if anything. */
-internal fun SessionAllowance.spentAtMost(recorded: EndedSession?, organisation: OrganisationId): Long {
-    if (recorded == null) return held
-    val limit = recorded.spendingLimits[organisation] ?: 0
-    return limit.coerceIn(settled.coerceAtMost(held), held)
-}
-
-private fun stopRecording(state: CoordinationState, router: RouterId): CoordinationState {
-    val session = state.sessions[router] ?: return state
-    return state.copy(stoppedRecordings = state.stoppedRecordings.put(router, session))
+    return BudgetRow(ended + row.held, endedSettled + settled, sessions.remove(session))
 }
 
 /** A move for an ended session changes nothing: the tokens that it held count as spent. */
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/AllowanceUpdateTest.kt
@@ -17,7 +17,6 @@
 import org.ibismoor.coordination.api.RouterRow
 import org.ibismoor.coordination.api.RouterState
 import org.ibismoor.coordination.api.SessionAllowance
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.coordination.api.bootstrapRecords
 import org.ibismoor.coordination.api.bootstrapReplica
 import org.ibismoor.coordination.api.restoreCoordination
@@ -63,32 +62,6 @@
         allowanceAt(COLOCATED_HOST, stateOf(BudgetRow()), others = others).evenDemandPerSecond shouldBe 20.0
     }
 
-    "a colocated router that records its spending holds tokens in advance, for up to a fifth of what is left" {
-        // Guards against a router that refuses all callers while its VM is separated from the leader, and against one
-        // that keeps tokens from the others until the partition ends.
-        val horizons = listOf(0L, 800L, 1_000L).map { spent ->
-            val row = BudgetRow(ended = spent, endedSettled = spent)
-            recordingAllowanceAt(COLOCATED_HOST, stateOf(row), demand = 50.0).horizonMillis
-        }
-        horizons shouldBe listOf(2_000, 400, 0)
-    }
-
-    "a router that records its spending holds up to all that is left for callers that stay at it" {
-        // Guards against callers that are refused for the rest of a network partition while the tokens of their budget
-        // wait at the leader for nobody.
-        val row = BudgetRow(ended = 400, endedSettled = 400)
-        val allowance = recordingAllowanceAt(COLOCATED_HOST, stateOf(row), demand = 100.0, otherDemand = 0.0)
-        allowance.horizonMillis shouldBe 6_000
-    }
-
-    "a router that records its spending expects no demand but its own" {
-        // Guards against tokens that wait at routers without callers while connected routers refuse theirs.
-        val report = reportOf(COLOCATED_HOST, demand = 0.0).copy(recording = SpendingRecording.RECORDED)
-        val others = listOf(reportOf(OTHER_HOST, demand = 30.0), reportOf("10.0.0.8", demand = 30.0))
-        val tables = leaderTables(stateOf(BudgetRow()), others + report, SETTINGS.routerDiscoveryMillis)
-        reportAnswer(tables, report, SETTINGS).allowances.single().evenDemandPerSecond shouldBe 0.0
-    }
-
     "the first router that reports to a new leader does not count as the only one" {
         // Guards against a router that draws tokens of all organisations in advance after an election and strands them.
         val report = reportOf(COLOCATED_HOST, demand = 99.0)
@@ -141,18 +114,6 @@
     return reportAnswer(tables, report, SETTINGS).allowances.single()
 }
 
-private fun recordingAllowanceAt(
-    host: String,
-    state: CoordinationState,
-    demand: Double,
-    otherDemand: Double = demand,
-): AllowanceUpdate {
-    val report = reportOf(host, demand).copy(recording = SpendingRecording.RECORDED)
-    val others = listOf(reportOf(OTHER_HOST, otherDemand))
-    val tables = leaderTables(state, others + report, SETTINGS.routerDiscoveryMillis)
-    return reportAnswer(tables, report, SETTINGS).allowances.single()
-}
-
 /** Tables of a replica that has been the leader for [leadingMillis] and has received [reports]. */
 internal fun leaderTables(
     state: CoordinationState,
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/CoordinationTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/CoordinationTest.kt
@@ -83,11 +83,6 @@
     "no random faults overspend a budget, lose an acknowledged configuration or make a read return an older one" {
         repeat(SEED_COUNT) { seed -> checkRandomFaults(seed) }
     }
-
-    "no random faults overspend a budget that is returned by the spending records of ended sessions" {
-        // Guards against tokens that are issued again although a router with a lost, stopped or old record spent them.
-        repeat(SEED_COUNT) { seed -> checkRandomFaults(seed, hasDisks = true) }
-    }
 })
 
 private fun startFleet(seed: Int): SimulatedFleet {
@@ -124,14 +119,13 @@
     }
 }
 
-private fun checkRandomFaults(seed: Int, hasDisks: Boolean = false) {
+private fun checkRandomFaults(seed: Int) {
     val fleet = startFleet(seed)
-    val routers = List(4) { SimulatedRouter("router-$it", hasDisk = hasDisks && it > 0).also(fleet::addRouter) }
+    val routers = List(4) { SimulatedRouter("router-$it").also(fleet::addRouter) }
     var version = 1L
     publishUntilAcknowledged(fleet, version, HOSTS)
     repeat(25) {
         injectFault(fleet, routers)
-        if (hasDisks) injectRecordFault(fleet, routers)
         version += 1 + fleet.random.nextLong(3)
         fleet.publish(HOSTS.random(fleet.random), version, BUDGET)
         fleet.read(HOSTS.random(fleet.random))
@@ -165,16 +159,6 @@
     }
 }
 
-private fun injectRecordFault(fleet: SimulatedFleet, routers: List<SimulatedRouter>) {
-    val router = routers.random(fleet.random)
-    when (fleet.random.nextInt(6)) {
-        0 -> router.wipe()
-        1 -> router.stopRecording()
-        2, 3 -> router.restart()
-        else -> Unit
-    }
-}
-
 private fun restoreFleet(fleet: SimulatedFleet) {
     fleet.heal()
     fleet.lossRate = 0.0
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedRouter.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedRouter.kt
@@ -1,16 +1,13 @@
 /**
- * A router that spends and returns random parts of its allowance and can be restarted with a new session. One with a
- * disk records a limit before it spends, and may lose the disk or stop to record.
+ * A router that spends and returns random parts of its allowance and can be restarted with a new session.
  */
 package org.ibismoor.coordination
 
 import org.ibismoor.coordination.api.AllowanceUsage
-import org.ibismoor.coordination.api.EndedSession
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.RouterState
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.coordination.api.hostOf
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
@@ -22,21 +19,12 @@
 private const val MEAN_REPORT_MILLIS = 100
 private const val MAXIMUM_TOKENS_PER_STEP = 40L
 
-internal class SimulatedRouter(
-    private val name: String,
-    private val isIdle: Boolean = false,
-    private val hasDisk: Boolean = false,
-) {
+internal class SimulatedRouter(private val name: String, private val isIdle: Boolean = false) {
     private var session = 0
     private var issued = 0L
     private var returned = 0L
     private var spent = 0L
     private var leader: String? = null
-    private var limit = 0L
-    private var recording = initialRecording()
-    private var isStopReported = false
-    private var isLimitLifted = false
-    private var endedSessions = emptyList<EndedSession>()
 
     /** Tokens spent by all sessions. */
     var totalSpent = 0L
@@ -47,45 +35,24 @@
     var leaderAnswer: ReportAnswer? = null
 
     fun restart() {
-        endedSessions = endedSessions + EndedSession(sessionId(), mapOf(ORGANISATION to limit))
         session++
-        limit = 0
-        recording = initialRecording()
-        isStopReported = false
-        isLimitLifted = false
         issued = 0
         returned = 0
         spent = 0
         pendingReply = 0
     }
 
-    /** Loses the record of all sessions, and the process with it. */
-    fun wipe() {
-        restart()
-        endedSessions = emptyList()
-    }
-
-    fun stopRecording() {
-        if (hasDisk) recording = SpendingRecording.STOPPED
-    }
-
-    private fun initialRecording() = if (hasDisk) SpendingRecording.RECORDED else SpendingRecording.NONE
-
-    private fun sessionId() = SessionId("$name-$session")
-
     fun report(): RouterReport =
         RouterReport(
             router = RouterId(name),
-            session = sessionId(),
+            session = SessionId("$name-$session"),
             entry = RouterEntry("$name:80", FailureDomainId("one")),
             state = RouterState.READY,
             configurationVersion = 0,
             upstreamRevision = 0,
             requestsPerSecond = 0.0,
             usage = if (isIdle) emptyList() else listOf(usage()),
-            recording = recording,
-            endedSessions = if (hasDisk) endedSessions else emptyList(),
-        ).also { isStopReported = recording == SpendingRecording.STOPPED }
+        )
 
     private fun usage() = AllowanceUsage(ORGANISATION, returned, spent, 0.0, wanted = 100, needed = 40)
 
@@ -99,10 +66,6 @@
 
     private fun spend(tokens: Long) {
         if (issued - returned - spent < tokens) return
-        if (hasDisk && !isLimitLifted) {
-            if (recording == SpendingRecording.STOPPED && spent + tokens > limit) return
-            limit = maxOf(limit, spent + tokens)
-        }
         spent += tokens
         totalSpent += tokens
     }
@@ -113,10 +76,7 @@
 
     fun receiveAnswer(answer: ReportAnswer) {
         pendingReply = 0
-        if (answer.isLeading) {
-            leaderAnswer = answer
-            isLimitLifted = isLimitLifted || isStopReported
-        }
+        if (answer.isLeading) leaderAnswer = answer
         leader = answer.leader?.let { hostOf(it) }
         val grant = answer.allowances.singleOrNull() ?: return
         issued = maxOf(issued, grant.issued)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AllowanceRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AllowanceRow.kt
@@ -27,8 +27,6 @@
     val borrowed: Long = 0,
     /** Tokens that this router has lent to others. */
     val lent: Long = 0,
-    /** Limit of [committed], as recorded on the router's disk; null at a router that records none. */
-    val spendingLimit: Long? = null,
     /** The demand at all routers divided evenly among them, in tokens a second. */
     val evenDemandPerSecond: Double = 0.0,
     /** Time for which the router holds tokens in advance, in milliseconds. */
@@ -41,13 +39,5 @@
     val updatedAt: Timestamp? = null,
 ) {
     val held: Long get() = issued + borrowed - lent - returned - settled
-
-    /** Tokens that are held and not reserved for a request in flight. */
-    val unreserved: Long get() = held - reserved
-
-    /** Tokens that the session has spent, may be spending or has lent. */
-    val committed: Long get() = settled + reserved + lent
-
-    /** Tokens that a request can reserve at once. */
-    val available: Long get() = minOf(unreserved, spendingLimit?.minus(committed) ?: Long.MAX_VALUE)
+    val available: Long get() = held - reserved
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Forwarding.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Forwarding.kt
@@ -15,22 +15,17 @@
     selection: UpstreamSelection = engineAwareSelection(),
 ): TickMachine<ForwardingTables, ForwardingMessage, ForwardingEffect> = ForwardingMachine(settings, selection)
 
-/**
- * Tables of a router at the start of [session]. [seed] must differ between routers and between starts. [spending] tells
- * whether the router has a disk to record its spending limits on.
- */
+/** Tables of a router at the start of [session]. [seed] must differ between routers and between starts. */
 fun initialForwarding(
     settings: ForwardingSettings,
     session: SessionId,
     seed: Long,
     now: Timestamp,
-    spending: SpendingRow = SpendingRow(),
 ): ForwardingTables =
     ForwardingTables(
         session = session,
         random = SeededRandom(seed),
         fleet = FleetRow(controlHosts = rotatedHosts(settings.controlHosts, seed), nextReportAt = now),
-        spending = spending,
     )
 
 /** Routers start with different control processes, so that a start of the fleet spreads the load of first reports. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -64,9 +64,6 @@
     val pendingPromptTokens: PersistentMap<UpstreamId, Long>,
 ) : ForwardingEffect
 
-/** Record the spending [limits] on the router's disk. The result is posted as [SpendingRecorded] or its failure. */
-data class RecordSpending(val limits: Map<OrganisationId, Long>) : ForwardingEffect
-
 /** Ask the routers at [addresses] for their contact with the leader. Answers are posted as [ContactAnswered]. */
 data class AskContact(val addresses: List<String>) : ForwardingEffect
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -50,12 +50,6 @@
 data class LoadNoticeReceived(val from: String, val pendingPromptTokens: PersistentMap<UpstreamId, Long>) :
     ForwardingMessage
 
-/** The spending [limits] are synced on the router's disk. */
-data class SpendingRecorded(val limits: Map<OrganisationId, Long>) : ForwardingMessage
-
-/** The disk refused to record spending limits, for [cause]. */
-data class SpendingRecordFailed(val cause: String) : ForwardingMessage
-
 /** The router at [from] has said whether it has contact with the leader. */
 data class ContactAnswered(val from: String, val hasLeader: Boolean) : ForwardingMessage
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -30,7 +30,6 @@
     /** Requests that wait for an upstream or for tokens. */
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
     val prompts: PromptTables = PromptTables(),
-    val spending: SpendingRow = SpendingRow(),
 ) {
     val isDraining: Boolean get() = drainStartedAt != null
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -41,11 +41,8 @@
 
 sealed interface RequestPhase
 
-/**
- * Waits for tokens; the request is refused at [until]. With [isShort] they were requested from the leader, otherwise
- * the router holds them and its disk has to record that they may be spent.
- */
-data class AwaitingAllowance(val since: Timestamp, val until: Timestamp, val isShort: Boolean = true) : RequestPhase
+/** Waits for tokens that were requested from the leader; the request is refused at [until]. */
+data class AwaitingAllowance(val since: Timestamp, val until: Timestamp) : RequestPhase
 
 /** Waits to be sent to an upstream. */
 data object AwaitingUpstream : RequestPhase
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AllowanceSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AllowanceSystem.kt
@@ -14,13 +14,10 @@
 import org.ibismoor.forwarding.api.LoanReceived
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.RequestRow
-import org.ibismoor.forwarding.api.SpendingRecorded
 
 internal class AllowanceSystem(private val settings: ForwardingSettings) : ForwardingSystem {
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep {
-        val isUpdated = tick.messages.any {
-            it is ReportAnswered && it.answer.isLeading || it is LoanReceived || it is SpendingRecorded
-        }
+        val isUpdated = tick.messages.any { it is ReportAnswered && it.answer.isLeading || it is LoanReceived }
         if (!isUpdated) return ForwardingStep(tables)
         val requests = tables.waiting.keys.mapNotNull(tables.requests::get).filter { it.phase is AwaitingAllowance }
         return foldSteps(tables, requests.sortedBy { it.number }) { table, request ->
@@ -35,12 +32,11 @@
         val updatedAt = row.updatedAt
         val isUpdated = updatedAt != null && updatedAt >= phase.since
         val isSpent = isUpdated && row.unspent < cost
-        val isHeldElsewhere = isUpdated && row.unreserved + row.unissued < cost
+        val isHeldElsewhere = isUpdated && row.available + row.unissued < cost
         val tablesWithReservation = tables.withReservation(request, cost)?.withoutShortfall(request, cost)
         val retryAfter = settings.times.retryAfterMillis
         return when {
             tablesWithReservation != null -> ForwardingStep(tablesWithReservation)
-            row.unreserved >= cost -> ForwardingStep(tables)
             // Spent tokens never come back, so this refusal has no retry time.
             isSpent -> refuseForAllowance(tables, request, RefusalReason.BUDGET_EXHAUSTED, null, now)
             isHeldElsewhere -> refuseForAllowance(tables, request, RefusalReason.SHARE_EXHAUSTED, retryAfter, now)
@@ -88,7 +84,6 @@
 }
 
 private fun ForwardingTables.withoutShortfall(request: RequestRow, cost: Long): ForwardingTables {
-    if ((request.phase as? AwaitingAllowance)?.isShort != true) return this
     val row = allowanceOf(request.organisation)
     return withAllowance(request.organisation, row.copy(shortfall = (row.shortfall - cost).coerceAtLeast(0)))
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Allowances.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Allowances.kt
@@ -16,7 +16,7 @@
 private const val NEWEST_WEIGHT = 0.1
 
 internal fun ForwardingTables.allowanceOf(organisation: OrganisationId?): AllowanceRow =
-    organisation?.let(allowances::get) ?: AllowanceRow(spendingLimit = if (spending.isLimited) 0 else null)
+    organisation?.let(allowances::get) ?: AllowanceRow()
 
 /** Reserves [cost] tokens for [request], which then waits for an upstream; null if too few are available. */
 internal fun ForwardingTables.withReservation(request: RequestRow, cost: Long): ForwardingTables? {
@@ -31,20 +31,14 @@
         .withWaiting(request.copy(phase = AwaitingUpstream, reserved = cost))
 }
 
-/**
- * Makes [request] wait for tokens. If the router lacks them, the next report is brought forward to now, so that the
- * leader learns of them.
- */
+/** Makes [request] wait for tokens and brings the next report forward to now, so that the leader learns of them. */
 internal fun ForwardingTables.withShortfall(request: RequestRow, now: Timestamp, waitMillis: Long): ForwardingTables {
     val until = minOf(now + waitMillis, request.dueAt)
     val row = allowanceOf(request.organisation)
     val cost = request.head.prompt?.maximumCost ?: 0
-    val isShort = row.unreserved < cost
-    val waiting = withWaiting(request.copy(phase = AwaitingAllowance(now, until, isShort)))
-        .let { it.copy(due = it.due.plus(until, request.number)) }
-    if (!isShort) return waiting
-    return waiting.withAllowance(request.organisation, row.copy(shortfall = row.shortfall + cost))
-        .copy(fleet = fleet.copy(nextReportAt = now))
+    return withAllowance(request.organisation, row.copy(shortfall = row.shortfall + cost))
+        .withWaiting(request.copy(phase = AwaitingAllowance(now, until)))
+        .let { it.copy(due = it.due.plus(until, request.number), fleet = it.fleet.copy(nextReportAt = now)) }
 }
 
 internal fun ForwardingTables.withSettledCost(request: RequestRow, cost: Long): ForwardingTables {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.foldSteps
 import org.ibismoor.core.api.then
+import org.ibismoor.forwarding.api.AllowanceRow
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.DrainStarted
@@ -169,7 +170,7 @@
 }
 
 private fun ForwardingTables.withAllowanceUpdate(update: AllowanceUpdate, now: Timestamp): ForwardingTables {
-    val row = allowanceOf(update.organisation)
+    val row = allowances[update.organisation] ?: AllowanceRow()
     val next = row.copy(
         issued = maxOf(row.issued, update.issued),
         evenDemandPerSecond = update.evenDemandPerSecond,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -22,7 +22,6 @@
             ConfigurationSystem(settings),
             ArrivalSystem(settings),
             LoanSystem(settings),
-            SpendingSystem(),
             CrashEvidenceSystem(settings),
             AttemptSystem(settings),
             AllowanceSystem(settings),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -7,7 +7,6 @@
 
 import org.ibismoor.coordination.api.AllowanceUsage
 import org.ibismoor.coordination.api.RouterReport
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
@@ -30,10 +29,7 @@
 /** A listed router holds at least a budget divided by this, so that a new organisation need not wait. */
 private const val MINIMUM_HELD_DIVISOR = 250L
 
-/**
- * A router without a spending record holds at most a budget divided by this. Persistent callers need much of their
- * budget at one router.
- */
+/** A router holds at most a budget divided by this. Persistent callers need much of their budget at one router. */
 private const val MAXIMUM_HELD_DIVISOR = 4L
 
 /** Standard deviations of the demand within the horizon that are held beyond its mean. */
@@ -78,13 +74,10 @@
             usage = usage,
             isFetchingConfigurations = true,
             prompts = promptEvidence(tables.prompts, settings.router, now),
-            recording = tables.spending.recording,
-            endedSessions = tables.spending.endedSessions.takeIf { tables.fleet.leaderAnsweredAt == null }.orEmpty(),
         )
         val fleet = tablesWithDemand.fleet.copy(isReporting = true, lastReportAt = now)
-        val spending = tables.spending.copy(isStopReported = report.recording == SpendingRecording.STOPPED)
         val effect = SendReport(fleet.controlHosts.first(), report)
-        return ForwardingStep(tablesWithDemand.copy(fleet = fleet, spending = spending), listOf(effect))
+        return ForwardingStep(tablesWithDemand.copy(fleet = fleet), listOf(effect))
     }
 
     /** Organisations with a budget whose tokens this router holds, requests or has used. */
@@ -103,7 +96,7 @@
         val demand = row.demandPerSecond * (1 - weight) + row.reservedSinceReport / seconds * weight
         val measuredRow = row.copy(demandPerSecond = demand, reservedSinceReport = 0)
         val keptTokens = (targetTokens(tables, organisation, measuredRow) * returnThreshold(tables)).toLong()
-        val surplus = (measuredRow.unreserved - keptTokens).coerceAtLeast(0)
+        val surplus = (measuredRow.available - keptTokens).coerceAtLeast(0)
         return tables.withAllowance(organisation, measuredRow.copy(returned = measuredRow.returned + surplus))
     }
 
@@ -114,10 +107,10 @@
 
     private fun wantedTokens(tables: ForwardingTables, organisation: OrganisationId, row: AllowanceRow): Long {
         val target = targetTokens(tables, organisation, row)
-        val isLow = row.unreserved < target * REFILL_THRESHOLD
+        val isLow = row.available < target * REFILL_THRESHOLD
         return when {
             tables.isDraining -> row.shortfall
-            isLow || row.shortfall > 0 -> (target - row.unreserved).coerceAtLeast(0) + row.shortfall
+            isLow || row.shortfall > 0 -> (target - row.available).coerceAtLeast(0) + row.shortfall
             else -> 0
         }
     }
@@ -130,8 +123,7 @@
         val deviation = sqrt(mean * row.meanReservation)
         val demand = (mean + SAFETY_DEVIATIONS * deviation).toLong()
         val minimum = if (isListedForCallers(tables)) budget / MINIMUM_HELD_DIVISOR else 0
-        val maximum = if (tables.spending.isLimited) budget else budget / MAXIMUM_HELD_DIVISOR
-        return if (isHoldingForbidden(row)) 0 else demand.coerceIn(minimum, maximum)
+        return if (isHoldingForbidden(row)) 0 else demand.coerceIn(minimum, budget / MAXIMUM_HELD_DIVISOR)
     }
 
     /** The leader lists this router, so callers are directed to it. */
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
@@ -1,18 +1,14 @@
 /**
  * A simulated fleet for tests of budgets: one control replica, a colocated router, and a router that a network
- * partition may separate from them. All VMs may lose power, after which only the log of the replica is left, and the
- * spending records of routers with disks.
+ * partition may separate from them. All VMs may lose power, after which only the log of the replica is left.
  */
 package org.ibismoor.forwarding
 
-import org.ibismoor.coordination.api.EndedSession
 import org.ibismoor.coordination.api.PublishedConfiguration
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterReport
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.FailureDomainId
-import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Tick
@@ -23,7 +19,6 @@
 import org.ibismoor.forwarding.api.ForwardingEffect
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
-import org.ibismoor.forwarding.api.RecordSpending
 import org.ibismoor.forwarding.api.RefuseRequest
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
@@ -32,8 +27,6 @@
 import org.ibismoor.forwarding.api.RequestNumber
 import org.ibismoor.forwarding.api.SendAttempt
 import org.ibismoor.forwarding.api.SendReport
-import org.ibismoor.forwarding.api.SpendingRecorded
-import org.ibismoor.forwarding.api.SpendingRow
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
 import kotlin.random.Random
@@ -42,7 +35,6 @@
 private const val SEPARABLE_ROUTER = 1
 private const val ANSWER_MILLIS = 100L
 private const val NETWORK_MILLIS = 2L
-private const val SYNC_MILLIS = 5L
 private const val MILLIS_PER_SECOND = 1_000
 private const val INPUT_TOKENS = 900L
 private const val OUTPUT_TOKENS = 100L
@@ -50,7 +42,7 @@
 /** Tokens that each request reserves and spends. */
 internal const val REQUEST_TOKENS = INPUT_TOKENS + OUTPUT_TOKENS
 
-internal class BudgetFleet(seed: Int, private val budget: Long, private val hasDisks: Boolean = false) {
+internal class BudgetFleet(seed: Int, private val budget: Long) {
     private val random = Random(seed)
     private var now = 0L
     private val control = SimulatedControl(
@@ -59,18 +51,14 @@
         PublishedConfiguration(1, "document", mapOf(COUNCIL to budget)),
         clock = { now },
     )
-    private val disks = List(ROUTER_COUNT) { mutableMapOf<SessionId, Map<OrganisationId, Long>>() }
     private var routers = startRouters(seed)
     private val inFlight = mutableListOf<Scheduled>()
     private var nextNumber = 1L
 
-    /** Requests a second at [callerRouter]; all callers stay there. */
+    /** Requests a second at the router that is not colocated; all callers stay there. */
     var requestsPerSecond = 0
 
-    /** Index of the router with callers: the one that is not colocated unless a test changes it. */
-    var callerRouter = SEPARABLE_ROUTER
-
-    /** Reports of the router with callers are lost. */
+    /** Reports of that router are lost. */
     var isPartitioned = false
 
     var served = 0
@@ -87,7 +75,7 @@
             inFlight.filter { it.at <= now }.also(inFlight::removeAll).forEach { it.action() }
             control.runIfDue()
             routers.forEach { it.runIfDue() }
-            if (random.nextInt(MILLIS_PER_SECOND) < requestsPerSecond) sendRequest(routers[callerRouter])
+            if (random.nextInt(MILLIS_PER_SECOND) < requestsPerSecond) sendRequest(routers[SEPARABLE_ROUTER])
         }
     }
 
@@ -121,21 +109,8 @@
             retryWindowMillis = 10_000,
         )
         private val machine = createForwarding(settings)
-        private val session = SessionId("$index-$now")
         private var tables =
-            initialForwarding(settings, session, seed + index.toLong(), Timestamp(now), startRecord())
-
-        private fun startRecord(): SpendingRow {
-            if (!hasDisks) return SpendingRow()
-            val ended = disks[index].map { (session, limits) -> EndedSession(session, limits) }
-            disks[index][session] = emptyMap()
-            return SpendingRow(SpendingRecording.RECORDED, endedSessions = ended)
-        }
-
-        private fun record(limits: Map<OrganisationId, Long>) {
-            disks[index][session] = disks[index].getValue(session) + limits
-            run(listOf(SpendingRecorded(limits)))
-        }
+            initialForwarding(settings, SessionId("$index-$now"), seed + index.toLong(), Timestamp(now))
 
         fun runIfDue() {
             val due = machine.nextDue(tables)
@@ -152,7 +127,6 @@
             when (effect) {
                 is SendAttempt -> schedule(ANSWER_MILLIS) { endAttempt(effect) }
                 is RefuseRequest -> refused++
-                is RecordSpending -> schedule(SYNC_MILLIS) { record(effect.limits) }
                 is SendReport -> schedule(NETWORK_MILLIS) { sendReport(effect.report) }
                 else -> Unit
             }
@@ -164,7 +138,7 @@
         }
 
         private fun sendReport(report: RouterReport) {
-            if (isPartitioned && index == callerRouter) receive(null) else control.report(report, ::receive)
+            if (isPartitioned && index == SEPARABLE_ROUTER) receive(null) else control.report(report, ::receive)
         }
 
         fun receive(answer: ReportAnswer?) {
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -42,7 +42,6 @@
 import org.ibismoor.forwarding.api.RouteTarget
 import org.ibismoor.forwarding.api.SendAttempt
 import org.ibismoor.forwarding.api.SendReport
-import org.ibismoor.forwarding.api.SpendingRow
 import org.ibismoor.forwarding.api.WorkKind
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
@@ -53,11 +52,7 @@
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
-internal class RouterHarness(
-    private val budget: Long? = null,
-    session: SessionId = SessionId("a"),
-    spending: SpendingRow = SpendingRow(),
-) {
+internal class RouterHarness(private val budget: Long? = null, session: SessionId = SessionId("a")) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
         entry = OWN_ENTRY,
@@ -79,7 +74,7 @@
     /** Control processes answer no report. */
     var isControlUnreachable = false
 
-    var tables = initialForwarding(settings, session, seed = 1, now = now, spending = spending)
+    var tables = initialForwarding(settings, session, seed = 1, now = now)
         private set
     val effects = mutableListOf<ForwardingEffect>()
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterSettings.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterSettings.kt
@@ -5,7 +5,6 @@
 
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.runtime.api.ListenAddress
-import java.nio.file.Path
 
 data class RouterSettings(
     val forwarding: ForwardingSettings,
@@ -16,8 +15,6 @@
     /** Port on which every router receives requests from other routers. */
     val routerPort: Int,
     val drain: DrainTimes = DrainTimes(),
-    /** Folder on the VM's disk for the record of spending limits; null on a VM without a disk. */
-    val dataFolder: Path? = null,
     /** Local host of outgoing connections; null lets the operating system choose. */
     val clientHost: String? = null,
 )
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -8,7 +8,6 @@
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterState
-import org.ibismoor.coordination.api.SpendingRecording
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.forwarding.api.AnswerLoan
@@ -22,13 +21,11 @@
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.LogDecision
-import org.ibismoor.forwarding.api.RecordSpending
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
 import org.ibismoor.forwarding.api.RequestLoan
 import org.ibismoor.forwarding.api.SendLoadNotice
 import org.ibismoor.forwarding.api.SendReport
-import org.ibismoor.forwarding.api.SpendingRow
 import org.ibismoor.forwarding.api.callerAddresses
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.hasLeaderContact
@@ -51,9 +48,6 @@
 import org.ibismoor.runtime.api.ListenAddress
 import org.ibismoor.runtime.api.createClock
 import org.ibismoor.runtime.api.startControlThread
-import org.ibismoor.storage.api.StorageException
-import org.ibismoor.storage.api.createFileStore
-import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -71,11 +65,9 @@
     private val pool = ClientPool(group, settings.clientHost)
     private val client = JsonClient(group, pool)
     private val clock = createClock()
-    private val session = newSessionId()
-    private val spendingLog = settings.dataFolder?.let(::openSpendingLog)
     private val loop: ControlLoop<ForwardingTables, ForwardingMessage, ForwardingEffect> = ControlLoop(
         createForwarding(settings.forwarding),
-        initialForwarding(settings.forwarding, session, SecureRandom().nextLong(), clock.now(), initialSpending()),
+        initialForwarding(settings.forwarding, newSessionId(), SecureRandom().nextLong(), clock.now()),
         clock,
         ::perform,
     )
@@ -121,7 +113,6 @@
                 is FetchConfiguration -> fetcher.fetch(effect)
                 is SendLoadNotice -> notices.send(effect)
                 is AskContact -> contacts.ask(effect)
-                is RecordSpending -> spendingLog?.record(effect.limits, loop::post)
                 is RequestLoan -> loans.requestLoan(effect)
                 is AnswerLoan -> loans.answerLoan(effect)
                 is ApplyConfiguration -> traffic.limits = effect.configuration.limits
@@ -143,22 +134,6 @@
             else -> CompletableFuture.completedFuture(SimpleAnswer(STATUS_NOT_FOUND))
         }
 
-    /** Without its log the router serves all the same, but then holds no tokens in advance. */
-    private fun openSpendingLog(folder: Path): SpendingLog? =
-        try {
-            SpendingLog.open(createFileStore(folder), session)
-        } catch (e: StorageException) {
-            log.write("storage_refused", "problem" to e.message)
-            null
-        }
-
-    private fun initialSpending(): SpendingRow =
-        if (spendingLog == null) {
-            SpendingRow()
-        } else {
-            SpendingRow(SpendingRecording.RECORDED, endedSessions = spendingLog.endedSessions)
-        }
-
     private fun sendReport(effect: SendReport) {
         val body = InternalJson.encodeToString(effect.report)
         val address = "${effect.host}:${settings.controlPort}"
