--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -20,8 +20,6 @@
     val failures: FailureRow = FailureRow(),
     /** When this router last sent each prompt part to the upstream, by the identifier of the part. */
     val sentParts: PersistentMap<String, Timestamp> = persistentHashMapOf(),
-    /** When this router last sent a long prompt to the upstream. */
-    val longPromptAt: Timestamp? = null,
     /** Load that other routers have put on the upstream, by the address of the router. */
     val peerLoads: PersistentMap<String, PeerLoad> = persistentHashMapOf(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
@@ -2,8 +2,7 @@
  * Chooses the upstream with the lowest expected delay. For model engines the delay is the number of prompt tokens to be
  * processed before the first token: the uncached part of the prompt and the prompts queued before it. For plain
  * services it is the number of requests at the upstream. All routers derive the same preferred engine for a shared
- * prompt part by rendezvous hashing, so that the fleet processes the part once and not once for each router. Long
- * prompts have engines of their own.
+ * prompt part by rendezvous hashing, so that the fleet processes the part once and not once for each router.
  */
 package org.ibismoor.forwarding.internal
 
@@ -36,12 +35,8 @@
 
 internal fun engineAwareSelection(): UpstreamSelection =
     UpstreamSelection { candidates, request, now, random ->
-        val longPromptEngines = longPromptEngines(candidates, request, now)
-        val preferred = preferredEngine(candidates.filter { it.entry.id !in longPromptEngines }, request)
-        val scores = candidates.map { row ->
-            val avoidance = avoidanceTokens(row.entry.id, request, longPromptEngines)
-            row to score(row, request, now, row.entry.id == preferred) + avoidance
-        }
+        val preferred = preferredEngine(candidates, request)
+        val scores = candidates.map { it to score(it, request, now, it.entry.id == preferred) }
         val best = scores.minOf { (_, score) -> score }
         val ties = scores.filter { (_, score) -> score <= best + TIE_MARGIN }.map { (row, _) -> row }
             .sortedBy { it.entry.id }
@@ -86,7 +81,7 @@
     return parts.getOrNull(parts.size - 2) ?: parts.lastOrNull()
 }
 
-internal fun rendezvousHash(part: String, upstream: String): Long =
+private fun rendezvousHash(part: String, upstream: String): Long =
     SeededRandom(part.hashCode().toLong() shl Int.SIZE_BITS or upstream.hashCode().toLong().and(LOW_BITS))
         .below(Long.MAX_VALUE)
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -100,7 +100,6 @@
             inFlight = inFlight + 1,
             sentSinceLoad = sentSinceLoad + 1,
             pendingPromptTokens = pendingPromptTokens + uncached,
-            longPromptAt = if (request.hasLongPrompt()) now else longPromptAt,
             sentParts = request.head.prompt?.parts.orEmpty().fold(keptParts) { table, part -> table.put(part.id, now) },
         )
     }
