--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -13,7 +13,6 @@
 private const val JOIN_RETRY_MILLIS = 500L
 private const val COLOCATED_REQUESTS_PER_CORE = 100.0
 private const val COLOCATED_HORIZON_MILLIS = 0L
-private const val RECORDED_HORIZON_MILLIS = 10_000L
 private const val DEFAULT_HORIZON_MILLIS = 10_000L
 private const val HORIZON_DIVISOR = 5L
 private const val PERSISTENT_CALLERS_PERCENT = 95L
@@ -51,11 +50,6 @@
      * the cost of a round trip, so that a crash of the router strands none.
      */
     val colocatedHorizonMillis: Long = COLOCATED_HORIZON_MILLIS,
-    /**
-     * The same for a colocated router that records its spending: the time until callers have left a router that is
-     * separated from the leader.
-     */
-    val recordedHorizonMillis: Long = RECORDED_HORIZON_MILLIS,
     /** Longest horizon of other routers, which a network partition may separate from the control processes. */
     val defaultHorizonMillis: Long = DEFAULT_HORIZON_MILLIS,
     /**
