Make the control group as large as the tolerated losses require

The group always had three members, whatever the settings declare.

The group now grows to 2f+1 voters for f tolerated losses: replicas that ask to join are added while it is smaller, and stand by after that. MembershipPlan derives the members from the present ones and all hosts that ask, since two requests at once overwrote each other and left a group of seven with dead voters (a trial of LostDisksTest). A leader confirms no publication while a quorum could lose all its disks, for 10 s at most. Two control processes run in each failure domain; on a VM without a disk one is an observer, which only refers callers to the leader. Membership changes are logged, and ibismoor_voters is a metric.

Five of the six cases of LostDisksTest fail with a group limited to three, which is the size of before: it never has five voters.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/Coordination.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/Coordination.kt
@@ -37,6 +37,7 @@
     val seedHosts: List<String>,
     val randomSeed: Long,
     val time: Timestamp,
+    val isObserver: Boolean = false,
 )
 
 /** Restores the tables from the [records] of the log, in the order in which they were written. */
@@ -58,6 +59,7 @@
         },
         appliedIndex = restored.committed.lastOrNull()?.index ?: snapshot?.index ?: 0,
         seedHosts = start.seedHosts,
+        isObserver = start.isObserver,
         growth = LogGrowth(commands.size, commands.sumOf { it.payload.length.toLong() }),
     )
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -29,12 +29,18 @@
 
 data class AnswerRead(val reply: Long, val answer: OperatorAnswer) : CoordinationEffect
 
-/** Answer a join request with the [leader], if it is known. */
+/** Ask the control processes on [hosts] for the leader, without a request for membership. */
+data class SendLeaderQuery(val hosts: List<String>) : CoordinationEffect
+
+/** Answer a join request or a leader query with the [leader], if it is known. */
 data class AnswerJoin(val reply: Long, val leader: ReplicaId?) : CoordinationEffect
 
 /** This replica became the leader or stopped being the leader. */
 data class NotifyLeadershipChange(val isLeading: Boolean, val term: Long, val leader: ReplicaId?) : CoordinationEffect
 
+/** The members of the group changed, according to this replica's log. */
+data class NotifyMembershipChange(val voters: List<ReplicaId>, val learners: List<ReplicaId>) : CoordinationEffect
+
 /** The configuration of [version] is in force at this replica. */
 data class NotifyConfigurationChange(val version: Long) : CoordinationEffect
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
@@ -24,7 +24,10 @@
 /** A join request from a replica that is not a member or has no leader; answered by [AnswerJoin]. */
 data class JoinReceived(val reply: Long, val replica: ReplicaId) : CoordinationMessage
 
-/** Another replica's answer to a join request of this one. */
+/** A request for the leader's name from an observer; answered by [AnswerJoin]. */
+data class LeaderQueried(val reply: Long) : CoordinationMessage
+
+/** Another replica's answer to a join request or a leader query of this one. */
 data class JoinAnswered(val leader: ReplicaId?) : CoordinationMessage
 
 /** The platform's complete list of upstreams. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -10,6 +10,8 @@
 private const val COLOCATED_ROUTER_TIMEOUT_MILLIS = 1_300L
 private const val ROUTER_DISCOVERY_MILLIS = 800L
 private const val REPLICA_TIMEOUT_MILLIS = 3_000L
+private const val TOLERATED_LOSSES = 0
+private const val GROUP_COMPLETION_MILLIS = 10_000L
 private const val JOIN_RETRY_MILLIS = 500L
 private const val COLOCATED_REQUESTS_PER_CORE = 100.0
 private const val COLOCATED_HORIZON_MILLIS = 0L
@@ -43,6 +45,13 @@
     val routerDiscoveryMillis: Long = ROUTER_DISCOVERY_MILLIS,
     /** A member without contact for this long may be replaced by a replica on another VM. */
     val replicaTimeoutMillis: Long = REPLICA_TIMEOUT_MILLIS,
+    /** Disks that may be lost at the same time without the loss of a confirmed publication. */
+    val toleratedLosses: Int = TOLERATED_LOSSES,
+    /**
+     * Time for which a new leader confirms no publication while its quorum is not larger than [toleratedLosses]. After
+     * it, the group is as large as the running hosts allow, and publications are confirmed with less durability.
+     */
+    val groupCompletionMillis: Long = GROUP_COMPLETION_MILLIS,
     /** Interval of join requests, and the delay before the first one. */
     val joinRetryMillis: Long = JOIN_RETRY_MILLIS,
     /**
@@ -83,4 +92,12 @@
         minimumElectionMillis = MINIMUM_ELECTION_MILLIS,
         maximumElectionMillis = MAXIMUM_ELECTION_MILLIS,
     ),
-)
+) {
+    /** Voters of a complete group: after [toleratedLosses] a majority is left, and it holds every confirmed entry. */
+    val wantedVoters: Int get() = 2 * toleratedLosses + 1
+
+    companion object {
+        /** Values of [toleratedLosses] whose complete group is within the size limit of the replicated log. */
+        val TOLERABLE_LOSSES: IntRange = 0..(ConsensusSettings.MAXIMUM_MEMBERS - 1) / 2
+    }
+}
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -22,6 +22,8 @@
     val appliedIndex: Long,
     /** Hosts of control processes in the settings. */
     val seedHosts: List<String>,
+    /** True at a process without a disk: it never becomes a member and only refers callers to the leader. */
+    val isObserver: Boolean = false,
     /** Start of the current leadership; null at a replica that does not lead. */
     val leadingSince: Timestamp? = null,
     /** Next number for a proposal or a read. */
@@ -36,6 +38,10 @@
     val quarantine: QuarantineTables = QuarantineTables(),
     val lastContactAt: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
     val join: JoinRow = JoinRow(),
+    /** Replicas that are not members, with the time of their last join request; kept at the leader only. */
+    val candidates: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
+    /** The time from which the leader compares the members with those that the group should have. */
+    val nextMembershipCheckAt: Timestamp? = null,
     val growth: LogGrowth = LogGrowth(),
     /** A snapshot was taken and the log on disk still contains the entries that it covers. */
     val isLogRewriteDue: Boolean = false,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ConsensusSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ConsensusSystem.kt
@@ -18,12 +18,14 @@
 import org.ibismoor.consensus.api.RefuseProposal
 import org.ibismoor.consensus.api.RestoreSnapshot
 import org.ibismoor.consensus.api.SendMessage
+import org.ibismoor.consensus.api.status
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.CommittedCommand
 import org.ibismoor.coordination.api.ConsensusReceived
 import org.ibismoor.coordination.api.CoordinationEffect
 import org.ibismoor.coordination.api.CoordinationMessage
 import org.ibismoor.coordination.api.CoordinationTables
+import org.ibismoor.coordination.api.NotifyMembershipChange
 import org.ibismoor.coordination.api.PendingExchange
 import org.ibismoor.coordination.api.PendingPublication
 import org.ibismoor.coordination.api.PublicationTooLarge
@@ -47,7 +49,15 @@
             lastContactAt = lastContactAt,
             consensusInputs = persistentListOf(),
         )
-        return foldSteps(next, step.effects, ::applyEffect)
+        val applied = foldSteps(next, step.effects, ::applyEffect)
+        return CoordinationStep(applied.tables, applied.effects + membershipChange(tables.consensus, step.tables))
+    }
+
+    private fun membershipChange(previous: ConsensusTables, current: ConsensusTables): List<CoordinationEffect> {
+        val members = current.status().members
+        if (members == previous.status().members) return emptyList()
+        val (voters, learners) = members.partition { it.isVoter }
+        return listOf(NotifyMembershipChange(voters.map { it.replica }, learners.map { it.replica }))
     }
 
     private fun consensusInput(message: CoordinationMessage): ConsensusInput? =
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -36,7 +36,7 @@
             UpstreamListSystem(),
             QuarantineSystem(settings),
             ReportSystem(codec, settings),
-            PublicationSystem(codec),
+            PublicationSystem(codec, settings),
             ReadSystem(),
             SnapshotSystem(codec, settings),
         ),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
@@ -1,9 +1,12 @@
 /**
- * Keeps the group at replicas on running VMs. A replica that lost its disk rejoins as a new replica of its host and
- * replaces the old one; a replica on another VM replaces a member without contact.
+ * Keeps the group complete and on running VMs. A replica that lost its disk rejoins as a new replica of its host and
+ * replaces the old one; a replica on another VM is added while the group has too few members to survive the tolerated
+ * losses, and later replaces a member without contact. Others stay outside and keep asking. An observer asks for the
+ * leader only.
  */
 package org.ibismoor.coordination.internal
 
+import kotlinx.collections.immutable.PersistentMap
 import org.ibismoor.consensus.api.MembershipRequested
 import org.ibismoor.consensus.api.status
 import org.ibismoor.coordination.api.AnswerJoin
@@ -13,13 +16,14 @@
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
 import org.ibismoor.coordination.api.JoinRow
+import org.ibismoor.coordination.api.LeaderQueried
 import org.ibismoor.coordination.api.SeedHostsChanged
 import org.ibismoor.coordination.api.SendJoinRequest
+import org.ibismoor.coordination.api.SendLeaderQuery
 import org.ibismoor.coordination.api.hostOf
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
-import org.ibismoor.core.api.foldSteps
 
 /** Join requests after which a leader is forgotten if no answer names it again. */
 private const val NAMED_LEADER_REQUESTS = 2
@@ -28,13 +32,15 @@
     override fun run(tables: CoordinationTables, tick: Tick<CoordinationMessage>): CoordinationStep {
         val withSeedHosts = tick.messages.filterIsInstance<SeedHostsChanged>().lastOrNull()
             ?.let { tables.copy(seedHosts = it.hosts) } ?: tables
-        val answers = tick.messages.filterIsInstance<JoinAnswered>()
-        val withLeader = withSeedHosts.copy(join = withNamedLeader(withSeedHosts.join, answers, tick.now))
-        val answered = foldSteps(withLeader, tick.messages.filterIsInstance<JoinReceived>()) { table, message ->
-            answerJoin(table, message, tick.now)
-        }
-        val requested = requestJoin(answered.tables, tick.now)
-        return CoordinationStep(requested.tables, answered.effects + requested.effects)
+        val named = tick.messages.filterIsInstance<JoinAnswered>()
+        val next = withSeedHosts.copy(join = withNamedLeader(withSeedHosts.join, named, tick.now))
+        val joining = tick.messages.filterIsInstance<JoinReceived>()
+        val replies = joining.map { it.reply } + tick.messages.filterIsInstance<LeaderQueried>().map { it.reply }
+        val requested = requestJoin(withPlannedMembers(next, joining, tick.now), tick.now)
+        return CoordinationStep(
+            requested.tables,
+            replies.map { AnswerJoin(it, leaderNamedBy(next)) } + requested.effects,
+        )
     }
 
     /** A replica without a group receives no messages, so its first join request has to be due by time. */
@@ -65,8 +71,11 @@
             nextRequestAt == null -> CoordinationStep(tables.withNextRequest(now))
             nextRequestAt > now -> CoordinationStep(tables)
             else -> {
-                val hosts = (tables.seedHosts + tables.replicas().map(::hostOf)).distinct()
-                CoordinationStep(tables.withNextRequest(now), listOf(SendJoinRequest(tables.replica, hosts)))
+                val known = tables.replicas() + listOfNotNull(tables.join.leader)
+                val hosts = (tables.seedHosts + known.map(::hostOf)).distinct()
+                val request =
+                    if (tables.isObserver) SendLeaderQuery(hosts) else SendJoinRequest(tables.replica, hosts)
+                CoordinationStep(tables.withNextRequest(now), listOf(request))
             }
         }
     }
@@ -74,28 +83,31 @@
     private fun CoordinationTables.withNextRequest(now: Timestamp): CoordinationTables =
         copy(join = join.copy(nextRequestAt = now + settings.joinRetryMillis))
 
-    private fun answerJoin(tables: CoordinationTables, message: JoinReceived, now: Timestamp): CoordinationStep {
-        val leader = if (tables.leadingSince != null) tables.replica else tables.otherLeader()
-        val answer = listOf(AnswerJoin(message.reply, leader))
-        val target = if (tables.leadingSince != null) targetMembers(tables, message.replica, now) else null
-        val next = target
-            ?.let { tables.copy(consensusInputs = tables.consensusInputs.add(MembershipRequested(it))) }
-            ?: tables
-        return CoordinationStep(next, answer)
-    }
+    private fun leaderNamedBy(tables: CoordinationTables): ReplicaId? =
+        if (tables.leadingSince != null) tables.replica else tables.otherLeader()
 
-    /** The members with [joining] instead of the one that it replaces; null if it replaces none. */
-    private fun targetMembers(tables: CoordinationTables, joining: ReplicaId, now: Timestamp): List<ReplicaId>? {
-        val members = tables.replicas()
-        val replaced = members.firstOrNull { it != joining && hostOf(it) == hostOf(joining) }
-            ?: members.firstOrNull { it != tables.replica && isUnreachable(tables, it, now) }
-        val isMember = joining in members && members.none { it != joining && hostOf(it) == hostOf(joining) }
-        return if (isMember || replaced == null) null else (members - replaced + joining).distinct()
+    private fun withPlannedMembers(
+        tables: CoordinationTables,
+        joining: List<JoinReceived>,
+        now: Timestamp,
+    ): CoordinationTables {
+        val isCheckDue = joining.isNotEmpty() || tables.nextMembershipCheckAt.let { it == null || now >= it }
+        if (tables.leadingSince == null || !isCheckDue) return tables
+        val candidates = joining.fold(tables.candidates) { table, message -> table.withCandidate(message.replica, now) }
+        val next = tables.copy(
+            candidates = candidates,
+            nextMembershipCheckAt = now + settings.joinRetryMillis,
+        )
+        val planned = MembershipPlan(next, settings, now).members()
+        return if (planned.toSet() == tables.replicas().toSet()) {
+            next
+        } else {
+            next.copy(consensusInputs = next.consensusInputs.add(MembershipRequested(planned)))
+        }
     }
 
-    private fun isUnreachable(tables: CoordinationTables, member: ReplicaId, now: Timestamp): Boolean {
-        val since = tables.leadingSince ?: now
-        val lastContactAt = maxOf(tables.lastContactAt[member] ?: since, since)
-        return now - lastContactAt >= settings.replicaTimeoutMillis
-    }
+    /** A host runs one replica, so its later request replaces an earlier one. */
+    private fun PersistentMap<ReplicaId, Timestamp>.withCandidate(replica: ReplicaId, now: Timestamp) =
+        keys.filter { hostOf(it) == hostOf(replica) }.fold(this) { table, other -> table.remove(other) }
+            .put(replica, now)
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
@@ -29,7 +29,12 @@
     }
 
     private fun startLeading(tables: CoordinationTables, now: Timestamp): CoordinationTables =
-        tables.copy(leadingSince = now, routers = persistentHashMapOf(), upstreams = null)
+        tables.copy(
+            leadingSince = now,
+            routers = persistentHashMapOf(),
+            upstreams = null,
+            candidates = persistentHashMapOf(),
+        )
 
     private fun stopLeading(tables: CoordinationTables): CoordinationStep {
         val next = tables.copy(
--- /dev/null
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
@@ -0,0 +1,103 @@
+/**
+ * The size of the group follows the losses that the fleet has to tolerate: as many disks may be lost at once, while all
+ * other processes restart, without the loss of a confirmed publication and of the group itself.
+ */
+package org.ibismoor.coordination
+
+import io.kotest.core.spec.style.StringSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.ibismoor.coordination.api.CoordinationSettings
+
+private const val SEED_COUNT = 30
+private const val LOSSES = 2
+private const val VOTERS = 5
+private val SIX_HOSTS = List(6) { "10.0.0.${it + 1}" }
+private val SETTINGS = CoordinationSettings(toleratedLosses = LOSSES)
+
+class LostDisksTest : StringSpec({
+    "callers are served again and the publication is kept after two disks of a tolerated two are lost at once" {
+        // Guards against a group of three for a fleet that has to survive the loss of two disks: the survivor is no
+        // majority, so there is no leader again, and it may not hold what the two others had confirmed.
+        repeat(SEED_COUNT) { seed ->
+            val fleet = startCompleteFleet(seed)
+            for (version in 7L..9L) {
+                publishUntilAcknowledged(fleet, version, SIX_HOSTS)
+                loseDisksWhileAllRestart(fleet)
+                runUntil(fleet) { fleet.leader != null }
+                fleet.run(1_000)
+                fleet.versionAt(checkNotNull(fleet.leader)) shouldBe version
+                runUntil(fleet) { hasCompleteGroup(fleet) }
+            }
+            fleet.violations.shouldBeEmpty()
+        }
+    }
+
+    "random faults that lose two disks at a time overspend no budget and lose no confirmed publication" {
+        repeat(SEED_COUNT) { seed -> checkRandomFaults(startCompleteFleet(seed), lostDisks = LOSSES) }
+    }
+
+    "no publication is confirmed while a quorum could lose all its disks" {
+        // Guards against a confirmation in the first seconds of a fleet that two lost disks undo.
+        val fleet = SimulatedFleet(1, SETTINGS, SIX_HOSTS)
+        val (early, late) = SIX_HOSTS.chunked(3)
+        early.forEach(fleet::start)
+        fleet.run(2_000)
+        early.forEach { fleet.publish(it, 7, 1) }
+        fleet.run(1_000)
+        fleet.acknowledgedVersion shouldBe 0
+        late.forEach(fleet::start)
+        publishUntilAcknowledged(fleet, 7, SIX_HOSTS)
+        fleet.votersAt(checkNotNull(fleet.leader)).size shouldBeGreaterThanOrEqual LOSSES * 2
+    }
+
+    "publications are confirmed at last if no more hosts run" {
+        // Guards against a fleet with too few hosts that never takes a configuration.
+        val fleet = SimulatedFleet(1, SETTINGS, SIX_HOSTS)
+        SIX_HOSTS.take(3).forEach(fleet::start)
+        fleet.run(SETTINGS.groupCompletionMillis + 2_000)
+        publishUntilAcknowledged(fleet, 7, SIX_HOSTS)
+    }
+
+    "a host outside the complete group takes the place of a member without contact" {
+        // Guards against a group that stays smaller than the losses require although a host with a disk is idle.
+        val fleet = startCompleteFleet(1)
+        val outside = SIX_HOSTS.single { it !in fleet.votersAt(checkNotNull(fleet.leader)) }
+        val lost = SIX_HOSTS.first { it != outside && it != fleet.leader }
+        fleet.kill(lost)
+        fleet.run(6_000)
+        val voters = fleet.votersAt(checkNotNull(fleet.leader))
+        voters shouldContain outside
+        voters.size shouldBe VOTERS
+    }
+
+    "two losses without a spare host leave a group that confirms publications" {
+        // Guards against a quorum that counts lost replicas which nobody can replace.
+        val fleet = startCompleteFleet(1)
+        fleet.hosts.filter { it != fleet.leader }.take(LOSSES).forEach(fleet::kill)
+        fleet.run(3_000)
+        publishUntilAcknowledged(fleet, 7, SIX_HOSTS)
+    }
+})
+
+private fun startCompleteFleet(seed: Int): SimulatedFleet {
+    val fleet = SimulatedFleet(seed, SETTINGS, SIX_HOSTS)
+    SIX_HOSTS.forEach(fleet::start)
+    runUntil(fleet) { hasCompleteGroup(fleet) }
+    return fleet
+}
+
+private fun hasCompleteGroup(fleet: SimulatedFleet): Boolean =
+    fleet.leader?.let(fleet::membersAt).orEmpty().let { it.size == VOTERS && it.all(fleet::isRunning) } &&
+        fleet.leader?.let(fleet::votersAt).orEmpty().size == VOTERS
+
+private fun loseDisksWhileAllRestart(fleet: SimulatedFleet) {
+    val members = fleet.votersAt(checkNotNull(fleet.leader))
+    val lost = members.shuffled(fleet.random).take(LOSSES)
+    SIX_HOSTS.forEach(fleet::kill)
+    fleet.dropMessagesInFlight()
+    lost.forEach(fleet::wipe)
+    SIX_HOSTS.forEach(fleet::start)
+}
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorSettings.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorSettings.kt
@@ -13,7 +13,8 @@
     val host: String,
     val port: Int,
     val seedHosts: List<String>,
-    val dataFolder: Path,
+    /** Null on a VM without a disk: the process is an observer, which refers callers to the leader. */
+    val dataFolder: Path?,
     /** True only at the first start of the fleet, when all data folders are empty. */
     val isFirstStart: Boolean,
     /** Host and port of the platform's upstream list, which the leader reads at intervals of [listIntervalMillis]. */
@@ -25,4 +26,6 @@
     val bindHost: String = host,
     /** Local host of outgoing connections; null lets the operating system choose. */
     val clientHost: String? = null,
-)
+) {
+    val isObserver: Boolean get() = dataFolder == null
+}
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
@@ -11,4 +11,5 @@
     const val LOAD_NOTICE: String = "/internal/v1/use"
     const val CONTACT: String = "/internal/v1/contact"
     const val JOIN: String = "/internal/v1/join"
+    const val LEADER: String = "/internal/v1/leader"
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.ibismoor.consensus.api.status
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.gateway.internal.withLatencyBuckets
 import org.ibismoor.runtime.api.createMetrics
@@ -24,6 +25,7 @@
         registerGauge("ibismoor_configuration_version") { tables().state.configuration?.version ?: 0 }
         registerGauge("ibismoor_routers") { tables().routers.size }
         registerGauge("ibismoor_stranded_tokens") { tables().state.budgets.values.sumOf { it.ended - it.endedSettled } }
+        registerGauge("ibismoor_voters") { tables().consensus.status().members.count { it.isVoter } }
         registerGauge("ibismoor_log_index") { tables().appliedIndex }
         registerGauge("ibismoor_quarantined_parts") { tables().quarantine.quarantines.size }
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/OpenedReplica.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/OpenedReplica.kt
@@ -9,8 +9,10 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.gateway.api.CoordinatorSettings
+import org.ibismoor.storage.api.MemoryStore
 import org.ibismoor.storage.api.RecordStore
 import org.ibismoor.storage.api.StorageException
+import org.ibismoor.storage.api.createFileStore
 import java.security.SecureRandom
 
 private const val LOG_NAME = "coordination"
@@ -19,6 +21,10 @@
 /** The open log of a replica, its identity and the records to restore its state from. */
 internal class OpenedReplica(val log: ReplicaLog, val replica: ReplicaId, val records: List<ConsensusRecord>)
 
+/** The store of the replica: its data folder, or memory for an observer, which has nothing to keep. */
+internal fun replicaStore(settings: CoordinatorSettings): RecordStore =
+    settings.dataFolder?.let(::createFileStore) ?: MemoryStore()
+
 /**
  * Opens the folder. An empty folder belongs to a bootstrap replica at the first start of the fleet, and otherwise to a
  * new replica with a random epoch, which votes only after the other replicas have added it as a member.
@@ -26,9 +32,10 @@
 internal fun openReplica(settings: CoordinatorSettings, store: RecordStore): OpenedReplica {
     val log = ReplicaLog(store.open(LOG_NAME))
     val storedReplica = log.replica
+    val isBootstrapMember = settings.isFirstStart && !settings.isObserver && settings.host in settings.seedHosts
     return when {
         storedReplica != null -> OpenedReplica(log, storedReplica, log.records)
-        settings.isFirstStart && settings.host in settings.seedHosts ->
+        isBootstrapMember ->
             createReplicaLog(log, bootstrapReplica(settings.host), bootstrapRecords(settings.seedHosts))
         else -> createReplicaLog(log, newReplica(settings.host), emptyList())
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -11,11 +11,14 @@
 import org.ibismoor.coordination.api.AnswerReport
 import org.ibismoor.coordination.api.ConsensusReceived
 import org.ibismoor.coordination.api.CoordinationEffect
+import org.ibismoor.coordination.api.CoordinationMessage
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
+import org.ibismoor.coordination.api.LeaderQueried
 import org.ibismoor.coordination.api.NotifyConfigurationChange
 import org.ibismoor.coordination.api.NotifyLeadershipChange
+import org.ibismoor.coordination.api.NotifyMembershipChange
 import org.ibismoor.coordination.api.NotifyPromptPart
 import org.ibismoor.coordination.api.NotifyRouterListChange
 import org.ibismoor.coordination.api.NotifySessionStart
@@ -27,6 +30,7 @@
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.SeedHostsChanged
 import org.ibismoor.coordination.api.SendJoinRequest
+import org.ibismoor.coordination.api.SendLeaderQuery
 import org.ibismoor.coordination.api.SendToReplica
 import org.ibismoor.coordination.api.ShutdownRequested
 import org.ibismoor.coordination.api.Unconfirmed
@@ -50,7 +54,6 @@
 import org.ibismoor.runtime.api.ListenAddress
 import org.ibismoor.runtime.api.createClock
 import org.ibismoor.storage.api.StorageException
-import org.ibismoor.storage.api.createFileStore
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -70,7 +73,7 @@
     private val group: EventLoopGroup = createTrafficThread()
     private val client = JsonClient(group, ClientPool(group, settings.clientHost))
     private val clock = createClock()
-    private val replica = RunningReplica(settings, createFileStore(settings.dataFolder), clock, Listener())
+    private val replica = RunningReplica(settings, replicaStore(settings), clock, Listener())
     private val meters = CoordinatorMeters { replica.tables }
     private val links = HashMap<ReplicaId, PeerLink>()
     private val operatorReplies = PendingReplies<OperatorAnswer>(OPERATOR_TIMEOUT_MILLIS, Unconfirmed)
@@ -89,6 +92,8 @@
         log.write(
             "started",
             "replica" to replica.id,
+            "observer" to settings.isObserver,
+            "tolerated_losses" to settings.coordination.toleratedLosses,
             "records" to replica.records,
             "version" to replica.tables.state.configuration?.version,
         )
@@ -124,8 +129,8 @@
                 }.thenApply(::encodeReportAnswer)
             InternalPaths.CONFIGURATION -> CompletableFuture.completedFuture(answerDocument(request))
             InternalPaths.JOIN ->
-                joinReplies.openExchange { replica.post(JoinReceived(it, InternalJson.decodeFromString(request.body))) }
-                    .thenApply { SimpleAnswer(STATUS_OK, InternalJson.encodeToString(it.leader)) }
+                answerWithLeader { JoinReceived(it, InternalJson.decodeFromString(request.body)) }
+            InternalPaths.LEADER -> answerWithLeader(::LeaderQueried)
             InternalPaths.CONSENSUS -> {
                 postConsensusMessages(InternalJson.decodeFromString(request.body))
                 CompletableFuture.completedFuture(SimpleAnswer(STATUS_OK))
@@ -133,6 +138,10 @@
             else -> CompletableFuture.completedFuture(SimpleAnswer(STATUS_NOT_FOUND))
         }
 
+    private fun answerWithLeader(message: (Long) -> CoordinationMessage): CompletableFuture<SimpleAnswer> =
+        joinReplies.openExchange { replica.post(message(it)) }
+            .thenApply { SimpleAnswer(STATUS_OK, InternalJson.encodeToString(it.leader)) }
+
     private fun answerDocument(request: SimpleRequest): SimpleAnswer =
         documents.answer(request).also { answer ->
             answer.compressedBody?.let { meters.countConfigurationSent(it.bytes.size) }
@@ -154,7 +163,8 @@
             when (effect) {
                 is SendToReplica -> linkTo(effect.to).send(effect.message)
                 is SendJoinRequest ->
-                    effect.hosts.filter { it != settings.host }.forEach { sendJoinRequest(it, effect.replica) }
+                    askForLeader(effect.hosts, InternalPaths.JOIN, InternalJson.encodeToString(effect.replica))
+                is SendLeaderQuery -> askForLeader(effect.hosts, InternalPaths.LEADER, null)
                 is AnswerReport -> reportReplies.complete(effect.reply, effect.answer)
                 is AnswerPublication -> operatorReplies.complete(effect.reply, effect.answer)
                 is AnswerRead -> operatorReplies.complete(effect.reply, effect.answer)
@@ -186,6 +196,13 @@
                 // Routers cannot serve before they have the upstreams, so the list is read at once.
                 if (effect.isLeading) group.execute(::readUpstreamList)
             }
+            is NotifyMembershipChange ->
+                log.write(
+                    "membership",
+                    "voters" to effect.voters.joinToString(","),
+                    "learners" to effect.learners.joinToString(","),
+                    "wanted_voters" to settings.coordination.wantedVoters,
+                )
             is NotifyConfigurationChange ->
                 log.write("configuration_committed", "version" to effect.version, "index" to tables.appliedIndex)
             is NotifyRouterListChange ->
@@ -216,11 +233,11 @@
     private fun linkTo(other: ReplicaId): PeerLink =
         links.getOrPut(other) { PeerLink(replica.id, other, "${hostOf(other)}:${settings.port}", client) }
 
-    private fun sendJoinRequest(host: String, joining: ReplicaId) {
-        val body = InternalJson.encodeToString(joining)
-        client.call("$host:${settings.port}", "POST", InternalPaths.JOIN, body, JOIN_TIMEOUT_MILLIS)
-            .thenAccept { replica.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
-    }
+    private fun askForLeader(hosts: List<String>, path: String, body: String?) =
+        hosts.filter { it != settings.host }.forEach { host ->
+            client.call("$host:${settings.port}", if (body == null) "GET" else "POST", path, body, JOIN_TIMEOUT_MILLIS)
+                .thenAccept { replica.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
+        }
 
     private fun readUpstreamList() {
         if (replica.tables.leadingSince == null || isReadingList) return
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningReplica.kt
@@ -56,7 +56,13 @@
 
     private fun openIncarnation(settings: CoordinatorSettings): Incarnation {
         val opened = openReplica(settings, store)
-        val start = CoordinationStart(opened.replica, seedHosts, SecureRandom().nextLong(), clock.now())
+        val start = CoordinationStart(
+            replica = opened.replica,
+            seedHosts = seedHosts,
+            randomSeed = SecureRandom().nextLong(),
+            time = clock.now(),
+            isObserver = settings.isObserver,
+        )
         val loop = ControlLoop(
             createCoordination(JsonCoordinationCodec, settings.coordination),
             restoreCoordination(start, opened.records, JsonCoordinationCodec, settings.coordination),
--- a/storage/src/main/kotlin/org/ibismoor/storage/api/MemoryStore.kt
+++ b/storage/src/main/kotlin/org/ibismoor/storage/api/MemoryStore.kt
@@ -1,7 +1,7 @@
 /**
- * An in-memory record store with fault injection, for tests of modules that write records. It keeps the contract of
- * [RecordLog]: records whose append returned survive a [crash], and a log accepts no writes after a failure. Not
- * thread-safe.
+ * An in-memory record store for processes without a disk, with fault injection for tests of modules that write records.
+ * It keeps the contract of [RecordLog]: records whose append returned survive a [crash], and a log accepts no writes
+ * after a failure. Not thread-safe.
  */
 package org.ibismoor.storage.api
 
