Add no plain answer to a stream that has begun

A stream that broke off was continued at another upstream. Where that one answered with a success of more than 1 MiB that is no stream, the router wrote its body into the caller's stream, since long answers are forwarded in chunks and only short ones were checked for an answer that had begun. Such an attempt now fails and the caller's stream ends cut off.

ContinuedStreamTest has eleven answers of the next upstream; "a long success that is no stream" failed before, the others passed.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -152,7 +152,7 @@
 
     private fun startForwarding(current: BufferedAnswer) {
         if (current.fields.isNotExecuted) return endRefused(current)
-        if (!isDeliverable(current)) return fail("answer_too_large")
+        if (!isDeliverable(current) || exchange.isAnswerStarted) return fail("answer_too_large")
         mode = Mode.CHUNKS
         exchange.startAnswer(current)
         forward(Unpooled.wrappedBuffer(current.toByteArray()))
