--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -44,6 +44,9 @@
 
 private const val MAXIMUM_DELAY_MILLIS = 8
 
+/** Delay after which a control process opens its log again. */
+private const val REOPEN_DELAY_MILLIS = 500L
+
 /** The first three [hosts] start with the group's first records; the others join it. */
 internal class SimulatedFleet(
     seed: Int,
@@ -57,6 +60,8 @@
     private val disks = hosts.associateWith(::firstDisk).toMutableMap()
     private val running = mutableMapOf<String, CoordinationTables>()
     private val messagesInFlight = mutableListOf<MessageInFlight>()
+    private val fullDisks = mutableSetOf<String>()
+    private val restarts = mutableMapOf<String, Long>()
     private val partitionedPairs = mutableSetOf<Set<String>>()
     private var nextReply = 1L
     private var nextEpoch = 3
@@ -104,6 +109,15 @@
         disks[host] = Disk(ReplicaId(FailureDomainId(host), nextEpoch++), emptyList())
     }
 
+    /** The disk refuses writes. A replica that meets this stops, and starts again after the delay of the process. */
+    fun fillDisk(host: String) {
+        fullDisks += host
+    }
+
+    fun freeDisk(host: String) {
+        fullDisks -= host
+    }
+
     fun isRunning(host: String): Boolean = host in running
 
     fun partition(one: String, other: String) {
@@ -139,6 +153,7 @@
             messagesInFlight.removeAll(due)
             due.forEach { deliver(it.to, it.message) }
             routers.forEach { it.tick(this) }
+            restarts.filterValues { it <= now }.keys.forEach { host -> restarts.remove(host).also { start(host) } }
             running.keys.toList().forEach { host ->
                 val next = running[host]?.let(machine::nextDue)
                 if (next != null && next.millis <= now) tick(host, emptyList())
@@ -175,9 +190,16 @@
     private fun tick(host: String, messages: List<CoordinationMessage>) {
         val step = machine.run(running.getValue(host), Tick(Timestamp(now), WallTime(now), messages))
         running[host] = step.tables
-        step.effects.forEach { perform(host, it) }
+        val performed = if (host in fullDisks) step.effects.takeWhile { !isWrite(it) } else step.effects
+        performed.forEach { perform(host, it) }
+        if (performed.size < step.effects.size) {
+            kill(host)
+            restarts[host] = now + REOPEN_DELAY_MILLIS
+        }
     }
 
+    private fun isWrite(effect: CoordinationEffect): Boolean = effect is SyncRecords || effect is ReplaceRecords
+
     private fun perform(host: String, effect: CoordinationEffect) {
         val disk = disks.getValue(host)
         when (effect) {
