Obey upstreams that announce their leave or ask for a pause

An upstream that leaves says so in its answers, and one that refuses with 503 may say for how long it wants nothing. The router read neither, so it went on sending while the list lagged or the router was cut off, and sent refused requests on at once.

AvailabilitySystem keeps both per upstream. A leaving one gets nothing new until the list shows a new incarnation. A pause leaves it out, retries and the last resort of ejected upstreams included, for 300 s at most; then the requests in flight rise over 1 s. With no upstream left the request is refused at once as not run, with the shortest pause as the time to come back. Both are logged once, counted, and shown by gauges.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -19,6 +19,10 @@
 /** The first event of a stream has reached the router. */
 data class FirstEventArrived(val number: RequestNumber, val attempt: Int, val load: ReportedLoad?) : ForwardingMessage
 
+/** An answer of [upstream] said that it is leaving, or asked for a pause of [pauseMillis] from its arrival. */
+data class AvailabilityAnnounced(val upstream: UpstreamId, val isLeaving: Boolean, val pauseMillis: Long?) :
+    ForwardingMessage
+
 /** Attempt number [attempt] has ended. */
 data class AttemptEnded(val number: RequestNumber, val attempt: Int, val result: AttemptResult) : ForwardingMessage
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -23,6 +23,8 @@
     /** Start of the planned stop of the process; null if there is none. */
     val drainStartedAt: Timestamp? = null,
     val upstreams: PersistentMap<UpstreamId, UpstreamRow> = persistentHashMapOf(),
+    /** The end of the first pause that an upstream asked for; null without a pause. */
+    val nextResumptionAt: Timestamp? = null,
     val retries: PersistentMap<UpstreamGroupId, RetryRow> = persistentHashMapOf(),
     val requests: PersistentMap<RequestNumber, RequestRow> = persistentHashMapOf(),
     val allowances: PersistentMap<OrganisationId, AllowanceRow> = persistentHashMapOf(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -20,6 +20,8 @@
 private const val MAXIMUM_ELECTION_MILLIS = 1_700L
 private const val FIRST_EJECTION_MILLIS = 1_000L
 private const val MAXIMUM_EJECTION_MILLIS = 8_000L
+private const val MAXIMUM_PAUSE_MILLIS = 300_000L
+private const val RESUMPTION_MILLIS = 1_000L
 private const val STALL_TIMEOUT_MILLIS = 1_000L
 private const val FIRST_EVENT_TIMEOUT_MILLIS = 1_500L
 private const val ANSWER_TIMEOUT_MILLIS = 500L
@@ -61,6 +63,10 @@
     /** Duration of the first ejection of an upstream; it doubles with each further one. */
     val firstEjectionMillis: Long = FIRST_EJECTION_MILLIS,
     val maximumEjectionMillis: Long = MAXIMUM_EJECTION_MILLIS,
+    /** Bound on a pause that an upstream asks for, so that a wrong value does not take it out of use for good. */
+    val maximumPauseMillis: Long = MAXIMUM_PAUSE_MILLIS,
+    /** Time after a pause in which the requests in flight at the upstream may rise from one to its slots. */
+    val resumptionMillis: Long = RESUMPTION_MILLIS,
     /** A retryable stream without an event for this long moves to another upstream. */
     val stallTimeoutMillis: Long = STALL_TIMEOUT_MILLIS,
     /** The same before the first event. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -18,11 +18,15 @@
     /** Requests that this router has sent since [load] was reported. */
     val sentSinceLoad: Int = 0,
     val failures: FailureRow = FailureRow(),
+    val availability: AvailabilityRow = AvailabilityRow(),
     /** When this router last sent each prompt part to the upstream, by the identifier of the part. */
     val sentParts: PersistentMap<String, Timestamp> = persistentHashMapOf(),
     /** Load that other routers have put on the upstream, by the address of the router. */
     val peerLoads: PersistentMap<String, PeerLoad> = persistentHashMapOf(),
-)
+) {
+    /** True if the list or the upstream itself says so. */
+    val isLeaving: Boolean get() = entry.isLeaving || availability.leavingSince != null
+}
 
 /** Load that an upstream reported with an answer. */
 data class UpstreamLoad(val running: Int, val waiting: Int, val slots: Int, val reportedAt: Timestamp)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toPersistentHashMap
 import org.ibismoor.coordination.api.AllowanceUpdate
 import org.ibismoor.coordination.api.ReportAnswer
+import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.coordination.api.UpstreamList
 import org.ibismoor.coordination.api.hostOf
 import org.ibismoor.core.api.Tick
@@ -143,7 +144,7 @@
 private fun applyUpstreamList(tables: ForwardingTables, list: UpstreamList?, now: Timestamp): ForwardingStep {
     if (list == null || list.revision <= tables.fleet.upstreamRevision) return ForwardingStep(tables)
     val rows = list.upstreams.associate { entry ->
-        val row = tables.upstreams[entry.id]?.takeIf { it.entry.address == entry.address }
+        val row = tables.upstreams[entry.id]?.takeIf { isSameIncarnation(it.entry, entry) }
         entry.id to (row?.copy(entry = entry) ?: UpstreamRow(entry, sentParts = persistentHashMapOf()))
     }
     val decision = logDecision(
@@ -163,6 +164,10 @@
     )
 }
 
+/** An upstream that was listed as leaving and no longer is has been started again under its identifier. */
+private fun isSameIncarnation(previous: UpstreamEntry, entry: UpstreamEntry): Boolean =
+    previous.address == entry.address && (entry.isLeaving || !previous.isLeaving)
+
 /** A report in flight does not include later shortfalls, so the next report follows after a short interval. */
 private fun ForwardingTables.withReportForShortfall(intervalMillis: Long): ForwardingTables {
     val hasShortfall = allowances.values.any { it.shortfall > 0 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -23,6 +23,7 @@
             ArrivalSystem(settings),
             LoanSystem(settings),
             CrashEvidenceSystem(settings),
+            AvailabilitySystem(settings),
             AttemptSystem(settings),
             AllowanceSystem(settings),
             QuarantineSystem(settings),
@@ -38,6 +39,12 @@
 
     override fun nextDue(tables: ForwardingTables): Timestamp? {
         val report = tables.fleet.nextReportAt.takeIf { !tables.fleet.isReporting }
-        return listOfNotNull(tables.due.next, report, tables.fleet.loadNoticeDueAt, tables.nextFetchAt()).minOrNull()
+        return listOfNotNull(
+            tables.due.next,
+            report,
+            tables.fleet.loadNoticeDueAt,
+            tables.nextFetchAt(),
+            tables.nextResumptionAt,
+        ).minOrNull()
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -42,18 +42,29 @@
         val candidates = candidates(tables, request, now)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
-            else -> refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, settings.times.retryAfterMillis, now)
+            else -> {
+                val retryAfterMillis = retryAfterMillis(tables, request, now)
+                refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
+            }
         }
     }
 
-    /** Ejected upstreams are used only if there are no others. */
+    /** Ejected upstreams are used only if there are no others; leaving ones and those in a pause never. */
     private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
         val usable = tables.upstreams.values.filter {
-            it.entry.group == request.group && !it.entry.isLeaving && it.entry.id !in request.triedUpstreams
+            it.entry.group == request.group && it.entry.id !in request.triedUpstreams && !it.isLeaving &&
+                !it.isPaused(now) && it.hasResumed(now, settings.times.resumptionMillis)
         }
         return usable.filterNot { it.isEjected(now) }.ifEmpty { usable }
     }
 
+    /** The time until the first upstream's pause ends, if all that stay are in a pause. */
+    private fun retryAfterMillis(tables: ForwardingTables, request: RequestRow, now: Timestamp): Long {
+        val staying = tables.upstreams.values.filter { it.entry.group == request.group && !it.isLeaving }
+        val pauses = staying.map { row -> row.availability.pausedUntil?.let { it - now } ?: 0 }
+        return maxOf(settings.times.retryAfterMillis, pauses.minOrNull() ?: 0)
+    }
+
     private fun sendAttempt(
         tables: ForwardingTables,
         request: RequestRow,
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -81,8 +81,11 @@
     val sentAttempts: List<SendAttempt> get() = effects.filterIsInstance<SendAttempt>()
     val refusals: List<RefuseRequest> get() = effects.filterIsInstance<RefuseRequest>()
 
-    fun start(configuration: ForwardingConfiguration = configurationOf(1, budget)): RouterHarness = apply {
-        val list = UpstreamList(1, upstreams())
+    fun start(
+        configuration: ForwardingConfiguration = configurationOf(1, budget),
+        entries: List<UpstreamEntry> = upstreams(),
+    ): RouterHarness = apply {
+        val list = UpstreamList(1, entries)
         val routers = List(3) { RouterEntry("10.0.1.$it:80", FailureDomainId("north")) } + settings.entry
         post(ReportAnswered(ReportAnswer(true, null, emptyList(), upstreams = list, routers = routers), configuration))
         advance(1_500)
@@ -147,7 +150,7 @@
 internal fun upstreams(): List<UpstreamEntry> =
     List(3) { upstream("engine-$it", ENGINES) } + List(3) { upstream("desk-$it", DESK) }
 
-private fun upstream(name: String, group: UpstreamGroupId): UpstreamEntry =
+internal fun upstream(name: String, group: UpstreamGroupId = ENGINES): UpstreamEntry =
     UpstreamEntry(
         id = UpstreamId(name),
         group = group,
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
@@ -45,5 +45,7 @@
     val isNotExecuted: Boolean,
     /** The address now belongs to another upstream process. */
     val isOtherUpstream: Boolean,
+    /** The upstream announces that it is leaving. */
+    val isLeaving: Boolean,
     val load: ReportedLoad?,
 )
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import org.ibismoor.forwarding.api.AttemptResult
+import org.ibismoor.forwarding.api.AvailabilityAnnounced
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.NotExecuted
 import org.ibismoor.forwarding.api.NotSent
@@ -104,6 +105,7 @@
         val fields = environment.dialect.readAnswerFields(head.status().code(), head.headers())
         val isIdentified = fields.callId == exchange.request.fields.callId
         if (!isIdentified && belongsToOtherRequest(fields)) return false
+        if (isIdentified && !fields.isOtherUpstream) announceAvailability(head, fields)
         answer = BufferedAnswer(head, fields)
         val isSuccess = head.status().code() in FIRST_SUCCESS until FIRST_REDIRECT
         val isStream = head.headers().get(HttpHeaderNames.CONTENT_TYPE)?.startsWith(EVENT_STREAM) == true
@@ -112,6 +114,16 @@
         return true
     }
 
+    /** Also heard in the head of a stream, since the stream may last longer than the upstream's drain. */
+    private fun announceAvailability(head: HttpResponse, fields: AnswerFields) {
+        val pause = requestedPauseOf(head)
+        if (pause == RequestedPause.Malformed) environment.meters.countMalformedPause()
+        val pauseMillis = (pause as? RequestedPause.Pause)?.millis
+        if (fields.isLeaving || pauseMillis != null) {
+            environment.post(AvailabilityAnnounced(effect.upstream.id, fields.isLeaving, pauseMillis))
+        }
+    }
+
     /**
      * Upstreams identify the answers that they compute and their refusals. One that is not identified as the answer to
      * this request can be an earlier answer that was written again, so it says nothing about this request.
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -28,6 +28,10 @@
         registry.registerGauge("ibismoor_allowance_held_tokens") { tables().allowances.values.sumOf { it.held } }
         registry.registerGauge("ibismoor_log_lines_dropped", droppedLines)
         registry.registerGauge("ibismoor_upstreams") { tables().upstreams.size }
+        registry.registerGauge("ibismoor_upstreams_leaving") { tables().upstreams.values.count { it.isLeaving } }
+        registry.registerGauge("ibismoor_upstreams_paused") {
+            tables().upstreams.values.count { it.availability.pausedUntil != null }
+        }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
     }
 
@@ -39,6 +43,9 @@
         Counter.builder("ibismoor_decisions").tag("kind", decision.kind.name.lowercase()).register(registry).increment()
     }
 
+    fun countMalformedPause() =
+        Counter.builder("ibismoor_upstream_pauses_malformed").register(registry).increment()
+
     fun countLostNotice() = Counter.builder("ibismoor_use_notices_lost").register(registry).increment()
 
     fun recordDuration(nanos: Long) = durations.record(Duration.ofNanos(nanos))
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/TestFormats.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/TestFormats.kt
@@ -49,6 +49,7 @@
             isMarked = headers.contains("Mark"),
             isNotExecuted = headers.contains("Not-Run"),
             isOtherUpstream = false,
+            isLeaving = headers.contains("Leaving"),
             load = null,
         )
 }
