--- a/consensus/src/main/kotlin/org/ibismoor/consensus/internal/Campaign.kt
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/Campaign.kt
@@ -65,7 +65,7 @@
             heartbeatDue = tables.now,
             peers = others.associateWith { tables.newPeerRow() }.toPersistentHashMap(),
         )
-        return tables.copy(leader = tables.self, candidacy = null, leadership = leadership, targetMembers = null)
+        return tables.copy(leader = tables.self, candidacy = null, leadership = leadership)
             .appendInOwnTerm(LeaderContent)
     }
 }
