Request the planned members at the start of each leadership

Two states of a change of the members survived an election of the control group. The consensus keeps the last requested members of a replica, so a former leader that led again brought back a member that another one had replaced, with a disk that no longer exists. And a learner whose leader was lost counted as a member, so nobody asked for its promotion. The first check of a leadership now always requests the planned members, and a group with a learner is not complete.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -40,7 +40,10 @@
     val join: JoinRow = JoinRow(),
     /** Replicas that are not members, with the time of their last join request; kept at the leader only. */
     val candidates: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
-    /** The time from which the leader compares the members with those that the group should have. */
+    /**
+     * The time from which the leader compares the members with those that the group should have; null before its first
+     * check.
+     */
     val nextMembershipCheckAt: Timestamp? = null,
     val growth: LogGrowth = LogGrowth(),
     /** A snapshot was taken and the log on disk still contains the entries that it covers. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
@@ -86,6 +86,10 @@
     private fun leaderNamedBy(tables: CoordinationTables): ReplicaId? =
         if (tables.leadingSince != null) tables.replica else tables.otherLeader()
 
+    /**
+     * The first check of a leadership always requests the members, in the place of a request that the consensus still
+     * has of an earlier leadership of this replica.
+     */
     private fun withPlannedMembers(
         tables: CoordinationTables,
         joining: List<JoinReceived>,
@@ -99,13 +103,20 @@
             nextMembershipCheckAt = now + settings.joinRetryMillis,
         )
         val planned = MembershipPlan(next, settings, now).members()
-        return if (planned.toSet() == tables.replicas().toSet()) {
+        val isFirstCheck = tables.nextMembershipCheckAt == null
+        return if (tables.isGroupOf(planned) && !isFirstCheck) {
             next
         } else {
             next.copy(consensusInputs = next.consensusInputs.add(MembershipRequested(planned)))
         }
     }
 
+    /** A learner counts as missing: the leader that added it may have lost its leadership before it was promoted. */
+    private fun CoordinationTables.isGroupOf(planned: List<ReplicaId>): Boolean {
+        val members = consensus.status().members
+        return members.all { it.isVoter } && members.map { it.replica }.toSet() == planned.toSet()
+    }
+
     /** A host runs one replica, so its later request replaces an earlier one. */
     private fun PersistentMap<ReplicaId, Timestamp>.withCandidate(replica: ReplicaId, now: Timestamp) =
         keys.filter { hostOf(it) == hostOf(replica) }.fold(this) { table, other -> table.remove(other) }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
@@ -34,6 +34,7 @@
             routers = persistentHashMapOf(),
             upstreams = null,
             candidates = persistentHashMapOf(),
+            nextMembershipCheckAt = null,
         )
 
     private fun stopLeading(tables: CoordinationTables): CoordinationStep {
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
@@ -7,13 +7,19 @@
 import io.kotest.core.spec.style.StringSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.ibismoor.coordination.api.CoordinationSettings
+import org.ibismoor.coordination.api.hostOf
+import org.ibismoor.core.api.ReplicaId
 
 private const val SEED_COUNT = 30
 private const val LOSSES = 2
 private const val VOTERS = 5
+
+/** Duration of a change of the members in these tests, within which a leader is lost at different moments. */
+private const val MEMBERSHIP_MILLIS = 15L
 private val SIX_HOSTS = List(6) { "10.0.0.${it + 1}" }
 private val SETTINGS = CoordinationSettings(toleratedLosses = LOSSES)
 
@@ -73,6 +79,45 @@
         voters.size shouldBe VOTERS
     }
 
+    "a learner that an earlier leader added becomes a voter" {
+        // Guards against a group that stays one voter short: a member asks nobody to join, and the new leader takes the
+        // members for complete.
+        repeat(SEED_COUNT) { seed ->
+            val fleet = startCompleteFleet(seed)
+            val lost = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
+            fleet.wipe(lost)
+            fleet.run(1_000)
+            fleet.start(lost)
+            runUntil(fleet) { fleet.leader?.let { fleet.votersAt(it).size < fleet.membersAt(it).size } ?: false }
+            fleet.run(seed % MEMBERSHIP_MILLIS)
+            val leader = checkNotNull(fleet.leader)
+            fleet.kill(leader)
+            fleet.run(1_500)
+            fleet.start(leader)
+            runUntil(fleet) { hasCompleteGroup(fleet) }
+        }
+    }
+
+    "a leader that is elected again does not bring back a member that another leader replaced" {
+        // Guards against a former leader that changes the group to the members that it wanted in its earlier term.
+        repeat(SEED_COUNT) { seed ->
+            val fleet = startCompleteFleet(seed)
+            val first = checkNotNull(fleet.leader)
+            replaceDisk(fleet) { it != first }
+            fleet.hosts.filter { it != first }.forEach { fleet.partition(first, it) }
+            runUntil(fleet) { fleet.leaders.any { it != first } && first !in fleet.leaders }
+            val second = checkNotNull(fleet.leader)
+            val replaced = replaceDisk(fleet) { it != first && it != second }
+            fleet.heal()
+            fleet.run(500)
+            fleet.kill(second)
+            repeat(3_000) {
+                fleet.run(1)
+                fleet.leader?.let { fleet.membersAt(it) }.orEmpty() shouldNotContain replaced
+            }
+        }
+    }
+
     "two losses without a spare host leave a group that confirms publications" {
         // Guards against a quorum that counts lost replicas which nobody can replace.
         val fleet = startCompleteFleet(1)
@@ -89,6 +134,16 @@
     return fleet
 }
 
+/** Loses the disk of a voter on a host that [isWanted], and returns the replica that is replaced. */
+private fun replaceDisk(fleet: SimulatedFleet, isWanted: (String) -> Boolean): ReplicaId {
+    val members = fleet.membersAt(checkNotNull(fleet.leader))
+    val replaced = members.first { isWanted(hostOf(it)) && fleet.isRunning(it) }
+    fleet.wipe(hostOf(replaced))
+    fleet.start(hostOf(replaced))
+    runUntil(fleet) { fleet.leader?.let { replaced !in fleet.membersAt(it) } ?: false }
+    return replaced
+}
+
 private fun hasCompleteGroup(fleet: SimulatedFleet): Boolean =
     fleet.leader?.let(fleet::membersAt).orEmpty().let { it.size == VOTERS && it.all(fleet::isRunning) } &&
         fleet.leader?.let(fleet::votersAt).orEmpty().size == VOTERS
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -167,6 +167,8 @@
         if (!isLost()) deliver(host, ReportReceived(reply, router.report()))
     }
 
+    val leaders: List<String> get() = running.filterValues { it.leadingSince != null }.keys.toList()
+
     val leader: String? get() = running.entries.firstOrNull { it.value.leadingSince != null }?.key
 
     fun versionAt(host: String): Long = running[host]?.state?.configuration?.version ?: 0
