Announce the leader to control processes outside the group

With two control processes in each failure domain, the settings may come to name only processes outside the group.

The leader now announces itself every 500 ms to the hosts in its settings that are outside the group. They name it to routers and operators.

SeedTurnoverTest fails without the announcements.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -32,6 +32,9 @@
 /** Ask the control processes on [hosts] for the leader, without a request for membership. */
 data class SendLeaderQuery(val hosts: List<String>) : CoordinationEffect
 
+/** Tell the control processes on [hosts], which are outside the group, that [leader] leads it. */
+data class SendLeaderAnnouncement(val leader: ReplicaId, val hosts: List<String>) : CoordinationEffect
+
 /** Answer a join request or a leader query with the [leader], if it is known. */
 data class AnswerJoin(val reply: Long, val leader: ReplicaId?) : CoordinationEffect
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
@@ -27,7 +27,7 @@
 /** A request for the leader's name from an observer; answered by [AnswerJoin]. */
 data class LeaderQueried(val reply: Long) : CoordinationMessage
 
-/** Another replica's answer to a join request or a leader query of this one. */
+/** Another replica's answer to a join request or a leader query of this one, or the announcement of a leader. */
 data class JoinAnswered(val leader: ReplicaId?) : CoordinationMessage
 
 /** The platform's complete list of upstreams. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -45,6 +45,8 @@
      * check.
      */
     val nextMembershipCheckAt: Timestamp? = null,
+    /** When the leader next announces itself to seed hosts outside the group. */
+    val nextAnnouncementAt: Timestamp? = null,
     val growth: LogGrowth = LogGrowth(),
     /** A snapshot was taken and the log on disk still contains the entries that it covers. */
     val isLogRewriteDue: Boolean = false,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -31,6 +31,7 @@
             ApplySystem(codec, settings),
             LeadershipSystem(),
             join,
+            LeaderAnnouncementSystem(settings),
             routers,
             FleetViewSystem(settings),
             UpstreamListSystem(),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/LeadershipSystem.kt
@@ -35,6 +35,7 @@
             upstreams = null,
             candidates = persistentHashMapOf(),
             nextMembershipCheckAt = null,
+            nextAnnouncementAt = null,
         )
 
     private fun stopLeading(tables: CoordinationTables): CoordinationStep {
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -26,6 +26,7 @@
 import org.ibismoor.coordination.api.ReplaceRecords
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.SendJoinRequest
+import org.ibismoor.coordination.api.SendLeaderAnnouncement
 import org.ibismoor.coordination.api.SendToReplica
 import org.ibismoor.coordination.api.SyncRecords
 import org.ibismoor.coordination.api.bootstrapRecords
@@ -57,6 +58,9 @@
     private val codec = TextCodec()
     private val machine = createCoordination(codec, settings)
     private val seedHosts = hosts.take(HOSTS.size)
+
+    /** Control hosts in the settings of every process that starts from now on. */
+    var settingsHosts: List<String> = seedHosts
     private val disks = hosts.associateWith(::firstDisk).toMutableMap()
     private val running = mutableMapOf<String, CoordinationTables>()
     private val messagesInFlight = mutableListOf<MessageInFlight>()
@@ -95,7 +99,7 @@
 
     fun start(host: String) {
         val disk = disks.getValue(host)
-        val start = CoordinationStart(disk.replica, seedHosts, random.nextLong(), Timestamp(now))
+        val start = CoordinationStart(disk.replica, settingsHosts, random.nextLong(), Timestamp(now))
         running[host] = restoreCoordination(start, disk.records, codec, settings)
     }
 
@@ -173,6 +177,10 @@
 
     fun versionAt(host: String): Long = running[host]?.state?.configuration?.version ?: 0
 
+    /** The host to which the process on [host] refers callers; null without one. */
+    fun leaderNamedAt(host: String): String? =
+        running[host]?.let { it.consensus.status().leader ?: it.join.leader }?.let(::hostOf)
+
     /** True if the host runs and still has the disk with this replica's log. */
     fun isRunning(replica: ReplicaId): Boolean =
         hostOf(replica).let { it in running && disks.getValue(it).replica == replica }
@@ -209,6 +217,7 @@
             is ReplaceRecords -> disk.records = effect.records
             is SendToReplica -> sendTo(host, effect)
             is SendJoinRequest -> (effect.hosts - host).forEach { send(host, it, JoinReceived(0, effect.replica)) }
+            is SendLeaderAnnouncement -> effect.hosts.forEach { send(host, it, JoinAnswered(effect.leader)) }
             is AnswerJoin -> (hosts - host).forEach { send(host, it, JoinAnswered(effect.leader)) }
             else -> deliverAnswer(effect)
         }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
@@ -12,4 +12,5 @@
     const val CONTACT: String = "/internal/v1/contact"
     const val JOIN: String = "/internal/v1/join"
     const val LEADER: String = "/internal/v1/leader"
+    const val ANNOUNCEMENT: String = "/internal/v1/announcement"
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -30,6 +30,7 @@
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.SeedHostsChanged
 import org.ibismoor.coordination.api.SendJoinRequest
+import org.ibismoor.coordination.api.SendLeaderAnnouncement
 import org.ibismoor.coordination.api.SendLeaderQuery
 import org.ibismoor.coordination.api.SendToReplica
 import org.ibismoor.coordination.api.ShutdownRequested
@@ -131,6 +132,10 @@
             InternalPaths.JOIN ->
                 answerWithLeader { JoinReceived(it, InternalJson.decodeFromString(request.body)) }
             InternalPaths.LEADER -> answerWithLeader(::LeaderQueried)
+            InternalPaths.ANNOUNCEMENT -> {
+                replica.post(JoinAnswered(InternalJson.decodeFromString(request.body)))
+                CompletableFuture.completedFuture(SimpleAnswer(STATUS_OK))
+            }
             InternalPaths.CONSENSUS -> {
                 postConsensusMessages(InternalJson.decodeFromString(request.body))
                 CompletableFuture.completedFuture(SimpleAnswer(STATUS_OK))
@@ -165,6 +170,7 @@
                 is SendJoinRequest ->
                     askForLeader(effect.hosts, InternalPaths.JOIN, InternalJson.encodeToString(effect.replica))
                 is SendLeaderQuery -> askForLeader(effect.hosts, InternalPaths.LEADER, null)
+                is SendLeaderAnnouncement -> announceLeader(effect)
                 is AnswerReport -> reportReplies.complete(effect.reply, effect.answer)
                 is AnswerPublication -> operatorReplies.complete(effect.reply, effect.answer)
                 is AnswerRead -> operatorReplies.complete(effect.reply, effect.answer)
@@ -239,6 +245,13 @@
                 .thenAccept { replica.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
         }
 
+    private fun announceLeader(effect: SendLeaderAnnouncement) {
+        val body = InternalJson.encodeToString(effect.leader)
+        effect.hosts.forEach { host ->
+            client.call("$host:${settings.port}", "POST", InternalPaths.ANNOUNCEMENT, body, JOIN_TIMEOUT_MILLIS)
+        }
+    }
+
     private fun readUpstreamList() {
         if (replica.tables.leadingSince == null || isReadingList) return
         isReadingList = true
