Read callers' connections once more before a late attempt

An attempt for a request older than 100 ms now starts after one more pass of the event loop over the connections.

LateAttemptTest, "a late attempt is not sent if the close of the caller's connection is read next", fails without the pass: two requests reached the upstream in place of one.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -20,9 +20,16 @@
 import org.ibismoor.forwarding.api.SendAttempt
 import org.ibismoor.gateway.internal.net.removeHopByHopHeaders
 import java.util.Locale
+import java.util.concurrent.TimeUnit
 
 private const val MILLIS_PER_SECOND = 1_000.0
 
+/** Age of a request from which callers may have left before its attempt starts. */
+private const val LATE_ATTEMPT_MILLIS = 100L
+
+/** A scheduled task runs after the event loop has read what has arrived before it was due. */
+private const val READ_PASS_MILLIS = 1L
+
 @Suppress("TooManyFunctions") // one function for each effect and for each event of an attempt
 internal class Exchange(
     val number: RequestNumber,
@@ -43,9 +50,23 @@
 
     val eventCount: Int get() = if (isScanning) scanner.eventCount else 0
 
+    /**
+     * After a stall of the process, the close of the caller's connection may already wait behind its request. A late
+     * attempt therefore starts after the traffic thread has read all connections once more.
+     */
     fun send(effect: SendAttempt) {
         if (isEnded) return
         attempt?.cancel()
+        val ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)
+        if (ageMillis < LATE_ATTEMPT_MILLIS) {
+            startAttempt(effect)
+        } else {
+            environment.eventLoop.schedule({ startAttempt(effect) }, READ_PASS_MILLIS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun startAttempt(effect: SendAttempt) {
+        if (isEnded) return
         if (isScanning) scanner.dropPartialEvent()
         val lastEventId = if (isScanning) scanner.lastEventId else request.fields.lastEventId
         attempt = Attempt(this, effect, environment).also { it.start(lastEventId.takeIf { isAnswerStarted }) }
