Check the number of voters after random faults

The last check of checkRandomFaults had asked every host of three for the version; with larger groups it asks the voters, and said nothing on how many there are. It now wants a complete group of distinct hosts, which for three hosts is as strict as before.

--- a/coordination/src/test/kotlin/org/ibismoor/coordination/CoordinationTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/CoordinationTest.kt
@@ -137,7 +137,9 @@
     publishUntilAcknowledged(fleet, last, hosts)
     fleet.run(2_000)
     fleet.violations.shouldBeEmpty()
-    fleet.votersAt(checkNotNull(fleet.leader)).forEach { fleet.versionAt(it) shouldBe last }
+    val voters = fleet.votersAt(checkNotNull(fleet.leader))
+    voters.toSet().size shouldBe 2 * lostDisks + 1
+    voters.forEach { fleet.versionAt(it) shouldBe last }
     routers.sumOf { it.totalSpent } shouldBeLessThanOrEqual BUDGET
 }
 
