Review case 2: control processes run out of memory on many changes of a large configuration

Shown: 480 changes of a configuration with 1,400 routes end all three control processes by themselves, three times each (rule Fault). The log keeps 500 entries in memory, whatever their size.

--- a/review/Main.java
+++ b/review/Main.java
@@ -13,6 +13,7 @@
         int code;
         try {
             boolean isBroken = switch (arguments[0]) {
+                case "many-configurations" -> ManyConfigurations.isBroken(record, hasTrouble);
                 case "replaced-machine" -> ReplacedMachine.isBroken(record, hasTrouble);
                 default -> throw new IllegalArgumentException(arguments[0]);
             };
