Review case 3: an answer that is reset on its way is delivered as complete

Shown: a worker answers without a length before it has read a long body, and its connection is reset in the middle of the answer. The caller gets a 200 with the first half as a complete body; a stream ends as complete after two of four events (rule MIXED).

--- a/review/Main.java
+++ b/review/Main.java
@@ -15,6 +15,7 @@
             boolean isBroken = switch (arguments[0]) {
                 case "many-configurations" -> ManyConfigurations.isBroken(record, hasTrouble);
                 case "replaced-machine" -> ReplacedMachine.isBroken(record, hasTrouble);
+                case "reset-answer" -> ResetAnswer.isBroken(record, hasTrouble);
                 default -> throw new IllegalArgumentException(arguments[0]);
             };
             code = isBroken ? 1 : 0;
