--- a/review/Main.java
+++ b/review/Main.java
@@ -17,6 +17,7 @@
                 case "replaced-machine" -> ReplacedMachine.isBroken(record, hasTrouble);
                 case "reset-answer" -> ResetAnswer.isBroken(record, hasTrouble);
                 case "smuggled-request" -> SmuggledRequest.isBroken(record, hasTrouble);
+                case "large-uploads" -> LargeUploads.isBroken(record, hasTrouble);
                 default -> throw new IllegalArgumentException(arguments[0]);
             };
             code = isBroken ? 1 : 0;
