--- a/review/Fleet.java
+++ b/review/Fleet.java
@@ -33,14 +33,12 @@
     static final class Vm {
         final String name;
         final String ip;
-        final boolean hasControl;
         Process router;
         Process control;
 
-        Vm(String name, String ip, boolean hasControl) {
+        Vm(String name, String ip) {
             this.name = name;
             this.ip = ip;
-            this.hasControl = hasControl;
         }
     }
 
@@ -69,8 +67,9 @@
         int second = 64 + random.nextInt(128);
         int third = 1 + random.nextInt(250);
         for (int i = 0; i < vmCount; i++) {
-            vms.add(new Vm("front-" + i, "127." + second + "." + third + "." + (10 + i), true));
+            vms.add(new Vm("front-" + i, "127." + second + "." + third + "." + (10 + i)));
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         platform = new Platform("127." + second + "." + third + ".200");
     }
 
@@ -157,7 +156,7 @@
     Vm addVm() {
         String first = vms.get(0).ip;
         int number = vms.size();
-        Vm vm = new Vm("front-" + number, first.substring(0, first.lastIndexOf('.') + 1) + (10 + number), true);
+        Vm vm = new Vm("front-" + number, first.substring(0, first.lastIndexOf('.') + 1) + (10 + number));
         vms.add(vm);
         return vm;
     }
@@ -264,11 +263,7 @@
 
     @Override
     public void close() throws IOException {
-        isClosing = true;
-        for (Vm vm : vms) {
-            end(vm.router);
-            end(vm.control);
-        }
+        endProcesses();
         platform.close();
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
@@ -276,6 +271,14 @@
         record.close();
     }
 
+    private void endProcesses() {
+        isClosing = true;
+        for (Vm vm : vms) {
+            end(vm.router);
+            end(vm.control);
+        }
+    }
+
     private void end(Process process) {
         if (process == null) return;
         process.destroyForcibly();
