--- a/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
@@ -79,6 +79,48 @@
         voters.size shouldBe VOTERS
     }
 
+    "a member without contact leaves the group although its successor takes long to catch up" {
+        // Guards against a lost replica that stays a voter beside its successor: the next lost disk leaves no majority.
+        repeat(SEED_COUNT) { seed ->
+            val fleet = startCompleteFleet(seed)
+            val lost = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
+            fleet.kill(lost)
+            val learner = addSlowLearner(fleet)
+            fleet.run(SETTINGS.joinRetryMillis * 2)
+            fleet.heal()
+            fleet.run(1_000)
+            hasCompleteGroup(fleet) shouldBe true
+            fleet.votersAt(checkNotNull(fleet.leader)) shouldContain learner
+        }
+    }
+
+    "a learner is removed if the member that it should replace comes back first" {
+        // Guards against a voter more than wanted, which makes the majority larger but no loss more tolerable.
+        repeat(SEED_COUNT) { seed ->
+            val fleet = startCompleteFleet(seed)
+            val lost = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
+            fleet.kill(lost)
+            addSlowLearner(fleet)
+            fleet.start(lost)
+            fleet.run(SETTINGS.joinRetryMillis * 2)
+            fleet.heal()
+            fleet.run(1_000)
+            hasCompleteGroup(fleet) shouldBe true
+            fleet.votersAt(checkNotNull(fleet.leader)) shouldContain lost
+        }
+    }
+
+    "a lost voter leaves a group with a voter more than wanted" {
+        // Guards against a group that an interrupted replacement has left with four voters, one of them lost for good.
+        val fleet = SimulatedFleet(1, CoordinationSettings(toleratedLosses = 1), SIX_HOSTS.take(4), firstMembers = 4)
+        fleet.hosts.forEach(fleet::start)
+        runUntil(fleet) { fleet.leader != null }
+        val lost = fleet.hosts.first { it != fleet.leader }
+        fleet.kill(lost)
+        fleet.run(5_000)
+        fleet.votersAt(checkNotNull(fleet.leader)) shouldBe fleet.hosts - lost
+    }
+
     "a learner that an earlier leader added becomes a voter" {
         // Guards against a group that stays one voter short: a member asks nobody to join, and the new leader takes the
         // members for complete.
@@ -134,6 +176,15 @@
     return fleet
 }
 
+/** Runs until the leader has added a learner, which it then cannot reach. The result is the host of the learner. */
+private fun addSlowLearner(fleet: SimulatedFleet): String {
+    runUntil(fleet) { fleet.leader?.let { fleet.votersAt(it).size < fleet.membersAt(it).size } ?: false }
+    val leader = checkNotNull(fleet.leader)
+    val learner = fleet.membersAt(leader).map(::hostOf).single { it !in fleet.votersAt(leader) }
+    fleet.partition(leader, learner)
+    return learner
+}
+
 /** Loses the disk of a voter on a host that [isWanted], and returns the replica that is replaced. */
 private fun replaceDisk(fleet: SimulatedFleet, isWanted: (String) -> Boolean): ReplicaId {
     val members = fleet.membersAt(checkNotNull(fleet.leader))
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -48,16 +48,17 @@
 /** Delay after which a control process opens its log again. */
 private const val REOPEN_DELAY_MILLIS = 500L
 
-/** The first three [hosts] start with the group's first records; the others join it. */
+/** The first [firstMembers] of the [hosts] start with the group's first records; the others join it. */
 internal class SimulatedFleet(
     seed: Int,
     private val settings: CoordinationSettings = CoordinationSettings(),
     val hosts: List<String> = HOSTS,
+    firstMembers: Int = HOSTS.size,
 ) {
     val random = Random(seed)
     private val codec = TextCodec()
     private val machine = createCoordination(codec, settings)
-    private val seedHosts = hosts.take(HOSTS.size)
+    private val seedHosts = hosts.take(firstMembers)
 
     /** Control hosts in the settings of every process that starts from now on. */
     var settingsHosts: List<String> = seedHosts
