--- a/consensus/src/main/kotlin/org/ibismoor/consensus/internal/EntrySender.kt
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/EntrySender.kt
@@ -5,12 +5,9 @@
 package org.ibismoor.consensus.internal
 
 import org.ibismoor.consensus.api.AppendEntries
-import org.ibismoor.consensus.api.CommandContent
 import org.ibismoor.consensus.api.ConsensusEntry
 import org.ibismoor.consensus.api.ConsensusSettings
 import org.ibismoor.consensus.api.ConsensusTables
-import org.ibismoor.consensus.api.LeaderContent
-import org.ibismoor.consensus.api.MembersContent
 import org.ibismoor.consensus.api.SendMessage
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.Step
@@ -46,9 +43,15 @@
     }
 
     private fun canSendEntries(tables: ConsensusTables, peer: PeerRow): Boolean {
-        val unacknowledged = peer.nextIndex - peer.matchIndex
-        val isWindowOpen = unacknowledged <= ConsensusSettings.MAXIMUM_UNACKNOWLEDGED_ENTRIES
-        return !peer.isProbing && peer.nextIndex <= tables.log.lastIndex && isWindowOpen
+        val isDue = !peer.isProbing && peer.nextIndex <= tables.log.lastIndex
+        return isDue && isWindowOpen(tables, peer)
+    }
+
+    private fun isWindowOpen(tables: ConsensusTables, peer: PeerRow): Boolean {
+        val entries = peer.nextIndex - peer.matchIndex
+        val characters = tables.log.charactersBetween(peer.matchIndex, peer.nextIndex - 1)
+        return entries <= ConsensusSettings.MAXIMUM_UNACKNOWLEDGED_ENTRIES &&
+            characters <= ConsensusSettings.MAXIMUM_UNACKNOWLEDGED_CHARACTERS
     }
 
     private fun sendEntries(tables: ConsensusTables, replica: ReplicaId, peer: PeerRow): ConsensusStep {
@@ -64,21 +67,15 @@
     private fun nextBatch(tables: ConsensusTables, first: Long): List<ConsensusEntry> {
         val last = minOf(tables.log.lastIndex, first + ConsensusSettings.MAXIMUM_BATCH_ENTRIES - 1)
         val entries = mutableListOf(tables.log.entry(first))
-        var characters = payloadCharacters(entries.first())
+        var characters = entries.first().payloadCharacters
         while (entries.last().index < last && characters < ConsensusSettings.MAXIMUM_BATCH_CHARACTERS) {
             val entry = tables.log.entry(entries.last().index + 1)
-            characters += payloadCharacters(entry)
+            characters += entry.payloadCharacters
             if (characters <= ConsensusSettings.MAXIMUM_BATCH_CHARACTERS) entries += entry
         }
         return entries
     }
 
-    private fun payloadCharacters(entry: ConsensusEntry): Int =
-        when (val content = entry.content) {
-            is CommandContent -> content.payload.length
-            is MembersContent, is LeaderContent -> 0
-        }
-
     private fun sendWithoutEntries(tables: ConsensusTables, replica: ReplicaId, peer: PeerRow): ConsensusStep {
         val message = appendMessage(tables, peer.nextIndex - 1, emptyList())
         return Step(tables.withPeer(replica, peer.copy(isProbeDue = false)), listOf(SendMessage(replica, message)))
--- a/consensus/src/main/kotlin/org/ibismoor/consensus/internal/LeaderRequests.kt
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/LeaderRequests.kt
@@ -19,12 +19,19 @@
         val refusal = when {
             leadership == null || leadership.transfer != null -> ProposalRefusal.NOT_LEADER
             request.payload.length > ConsensusSettings.MAXIMUM_PAYLOAD_CHARACTERS -> ProposalRefusal.TOO_LARGE
-            leadership.proposals.size >= ConsensusSettings.MAXIMUM_PENDING_REQUESTS -> ProposalRefusal.TOO_MANY_PENDING
+            !hasRoom(tables, leadership, request) -> ProposalRefusal.TOO_MANY_PENDING
             else -> null
         }
         return if (refusal == null) appendProposal(tables, request) else refuse(tables, request.proposal, refusal)
     }
 
+    /** Uncommitted entries cannot be compacted, so they are bounded here. */
+    private fun hasRoom(tables: ConsensusTables, leadership: Leadership, request: ProposalReceived): Boolean {
+        val characters = tables.log.charactersAfter(tables.commitIndex) + request.payload.length
+        return leadership.proposals.size < ConsensusSettings.MAXIMUM_PENDING_REQUESTS &&
+            characters <= ConsensusSettings.MAXIMUM_PENDING_CHARACTERS
+    }
+
     private fun appendProposal(tables: ConsensusTables, request: ProposalReceived): ConsensusStep {
         val step = tables.appendInOwnTerm(CommandContent(request.payload))
         val index = step.tables.log.lastIndex
--- a/consensus/src/main/kotlin/org/ibismoor/consensus/internal/SnapshotSystem.kt
+++ b/consensus/src/main/kotlin/org/ibismoor/consensus/internal/SnapshotSystem.kt
@@ -30,7 +30,6 @@
             else -> Step(tables)
         }
 
-    /** Keeps the last entries in memory, so that a peer which lags by less needs no snapshot. */
     private fun compactLog(tables: ConsensusTables, snapshot: SnapshotTaken): ConsensusTables {
         val isNew = snapshot.index > tables.snapshot.index && snapshot.index <= tables.deliveredIndex
         return if (isNew) {
@@ -38,11 +37,17 @@
             val term = checkNotNull(tables.log.termAt(snapshot.index))
             tables.copy(
                 snapshot = SnapshotRow(snapshot.index, term, row.members, snapshot.payload),
-                log = tables.log.dropThrough(snapshot.index - settings.retainedEntries),
+                log = tables.log.dropThrough(lastDropped(tables.log, snapshot.index)),
                 memberships = tables.memberships.removeAll { it.index < row.index },
             )
         } else {
             tables
         }
     }
+
+    /** Keeps the last entries in memory, so that a peer which lags by less needs no snapshot. */
+    private fun lastDropped(log: LogTable, snapshotIndex: Long): Long {
+        val first = maxOf(log.baseIndex, snapshotIndex - settings.retainedEntries)
+        return (first..snapshotIndex).first { log.charactersBetween(it, snapshotIndex) <= settings.retainedCharacters }
+    }
 }
