Refuse messages whose transfer coding is not decoded

Netty's decoder reads a body by chunked or by its length and takes any other head as complete; the strict decoder refused only a head with both.

A message with a transfer coding other than a single chunked is now refused in the decoder (400 for requests), and the rest of its connection is discarded. One check serves callers' requests, the internal interfaces, which used the plain decoder, and answers, which were delivered without the field that names the coding. The product's own server has the same check: it ran a request with identity without its body, and kept one with gzip for a minute.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/AnswerDecoder.kt
@@ -28,5 +28,10 @@
         super.channelRead(ctx, msg)
     }
 
-    override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean = isHeadRequest || super.isContentAlwaysEmpty(msg)
+    /** The decoder calls this once for each head, and rejects the answer if it throws. */
+    override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean {
+        val isEmpty = isHeadRequest || super.isContentAlwaysEmpty(msg)
+        if (!isEmpty) requireReadableTransferCoding(msg.headers())
+        return isEmpty
+    }
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/SimpleServer.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/SimpleServer.kt
@@ -15,9 +15,10 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.QueryStringDecoder
@@ -27,6 +28,7 @@
 import org.ibismoor.gateway.api.SimpleRequest
 import org.ibismoor.runtime.api.ListenAddress
 
+private const val MAXIMUM_HEADER_BYTES = 8 * 1024
 private const val MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
 private const val READ_TIMEOUT_SECONDS = 30
 private const val STATUS_INTERNAL_ERROR = 500
@@ -40,7 +42,8 @@
                 override fun initChannel(channel: Channel) {
                     channel.pipeline().addLast(
                         ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
-                        HttpServerCodec(),
+                        StrictRequestDecoder(MAXIMUM_HEADER_BYTES),
+                        HttpResponseEncoder(),
                         HttpObjectAggregator(MAXIMUM_BODY_BYTES),
                         SimpleConnection(handler),
                     )
@@ -50,7 +53,7 @@
         .bind(address.host, address.port).sync().channel()
 
 /** A request that was read; [answer] is null until its handler has completed. */
-private class PendingAnswer(val isKeepAlive: Boolean, var answer: SimpleAnswer? = null)
+private class PendingAnswer(val isKeepAlive: Boolean, val isHead: Boolean, var answer: SimpleAnswer? = null)
 
 private class SimpleConnection(private val handler: SimpleHandler) : SimpleChannelInboundHandler<FullHttpRequest>() {
     /** In the order of the requests; confined to the event loop. */
@@ -58,7 +61,8 @@
 
     override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpRequest) {
         val isReadable = message.decoderResult().isSuccess
-        val pending = PendingAnswer(isKeepAlive = HttpUtil.isKeepAlive(message) && isReadable)
+        val isKeepAlive = HttpUtil.isKeepAlive(message) && isReadable
+        val pending = PendingAnswer(isKeepAlive, isHead = message.method() == HttpMethod.HEAD)
         pendingAnswers += pending
         if (isReadable) handle(ctx, message, pending) else complete(ctx, pending, SimpleAnswer(STATUS_BAD_REQUEST))
     }
@@ -78,24 +82,25 @@
         pending.answer = answer
         while (true) {
             val first = pendingAnswers.firstOrNull() ?: return
-            write(ctx, first.answer ?: return, first.isKeepAlive)
+            write(ctx, first.answer ?: return, first)
             pendingAnswers.removeFirst()
         }
     }
 
-    private fun write(ctx: ChannelHandlerContext, answer: SimpleAnswer, isKeepAlive: Boolean) {
+    private fun write(ctx: ChannelHandlerContext, answer: SimpleAnswer, pending: PendingAnswer) {
         val status = HttpResponseStatus.valueOf(answer.status)
         val compressed = answer.compressedBody
         val body = Unpooled.wrappedBuffer(compressed?.bytes ?: answer.body.encodeToByteArray())
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        val sentBody = if (pending.isHead) Unpooled.EMPTY_BUFFER else body
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, sentBody)
         val headers = response.headers()
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         if (compressed != null) headers.set(HttpHeaderNames.CONTENT_ENCODING, HttpHeaderValues.GZIP)
         if (body.isReadable) headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.location?.let { headers.set(HttpHeaderNames.LOCATION, it) }
-        if (!isKeepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (!pending.isKeepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         val written = ctx.writeAndFlush(response)
-        if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        if (!pending.isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
     }
 
     @Deprecated("Deprecated in Java")
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/StrictRequestDecoder.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/StrictRequestDecoder.kt
@@ -1,6 +1,7 @@
 /**
  * Decodes requests and rejects ambiguous framing, to prevent request smuggling. A request with both `Content-Length`
- * and `Transfer-Encoding: chunked` fails here; Netty's decoder rejects repeated lengths and bare line feeds.
+ * and `Transfer-Encoding: chunked`, or with another transfer coding, fails here; Netty's decoder rejects repeated
+ * lengths and bare line feeds.
  */
 package org.ibismoor.gateway.internal.net
 
@@ -19,4 +20,10 @@
     ) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("request has both Content-Length and Transfer-Encoding: chunked; send only one")
+
+    /** The decoder calls this once for each head, and rejects the request if it throws. */
+    override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean {
+        requireReadableTransferCoding(msg.headers())
+        return super.isContentAlwaysEmpty(msg)
+    }
 }
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/BodyReader.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/BodyReader.kt
@@ -7,6 +7,7 @@
 import io.undertow.io.Receiver
 import io.undertow.server.HttpHandler
 import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
 import org.http4k.core.Response
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
@@ -18,6 +19,8 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
 
+private const val CHUNKED = "chunked"
+
 internal class BodyReader(
     private val limits: HttpLimits,
     private val workers: Executor,
@@ -25,10 +28,12 @@
 ) : HttpHandler {
     override fun handleRequest(exchange: HttpServerExchange) {
         val limit = limits.bodyBytesFor(exchange.requestPath)
-        if (exchange.requestContentLength > limit) {
-            refuse(exchange, tooLarge(limit))
-        } else {
-            receive(exchange, limit)
+        val codings = exchange.requestHeaders[Headers.TRANSFER_ENCODING].orEmpty()
+        when {
+            codings.isNotEmpty() && !codings.singleOrNull().equals(CHUNKED, ignoreCase = true) ->
+                refuse(exchange, unknownCoding(codings))
+            exchange.requestContentLength > limit -> refuse(exchange, tooLarge(limit))
+            else -> receive(exchange, limit)
         }
     }
 
@@ -64,6 +69,12 @@
         exchange.dispatch(workers, ExchangeHandler({ _, _ -> response }, ByteArray(0)))
     }
 
+    /** With another coding the length of the body is unknown, so that its bytes could be read as the next request. */
+    private fun unknownCoding(codings: Collection<String>): Response {
+        val problem = "unsupported Transfer-Encoding \"${codings.joinToString()}\"; send chunked or a Content-Length"
+        return refusalResponse(RefusalReason.MALFORMED_REQUEST, Outcome.NOT_RUN, problem)
+    }
+
     private fun tooLarge(limit: Long): Response =
         refusalResponse(RefusalReason.REQUEST_TOO_LARGE, Outcome.NOT_RUN, "the request body exceeds $limit bytes")
 }
--- a/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
+++ b/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
@@ -113,6 +113,23 @@
         }
     }
 
+    "the body of a request with a transfer coding that is not decoded is not handled as another request" {
+        // Guards against work that no caller sent as a request.
+        listOf("gzip", "identity", "xchunked", "", "chunked, gzip").forEach { coding ->
+            val paths = LinkedBlockingQueue<String>()
+            val handler = CallerHandler { request, _ ->
+                paths += request.uri.path
+                Response(Status.OK)
+            }
+            withServer(handler) { server ->
+                val inner = "POST /inner HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                server.exchange("POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: $coding\r\n\r\n$inner") shouldStartWith
+                    "HTTP/1.1 400"
+                paths.toList() shouldBe emptyList()
+            }
+        }
+    }
+
     "bodies over the limit of their path are refused, with and without a stated length" {
         withServer({ _, _ -> Response(Status.OK) }) { server ->
             fun post(path: String, size: Int): Int {
