Take an answer as lost if its connection fails while it is written to

A reset was recorded in exceptionCaught, which Netty calls for failed reads. While bytes of the request wait to be written, the write fails first and closes the channel without it; the decoder then ends an answer without a length. StreamEndTest resets such answers after the request was read and passed, so the reset as such was recognised.

A failed write now marks the connection as reset, except for a write to a channel that an orderly end has closed. The connection class is the same for all calls of both processes. The product's own router takes no answer without a length for complete.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/ClientConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.nio.channels.ClosedChannelException
 
 /** Idle time within which a connection is reused if the server sends no `Keep-Alive` timeout. */
 private const val DEFAULT_IDLE_MILLIS = 700L
@@ -58,7 +59,17 @@
         if (hasBody) call.headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         channel.write(head)
         val body = channel.alloc().buffer(call.body.size.coerceAtLeast(1)).writeBytes(call.body)
-        channel.writeAndFlush(DefaultLastHttpContent(body)).addListener { isRequestWritten = it.isSuccess }
+        channel.writeAndFlush(DefaultLastHttpContent(body)).addListener { recordWrite(it.cause()) }
+    }
+
+    /**
+     * A server may answer while it still reads the request. If it resets the connection then, the failed write closes
+     * the channel without [exceptionCaught], and the decoder ends an answer without a length as if it were complete.
+     * After an orderly end, the rest of the request fails as not written to a closed channel.
+     */
+    private fun recordWrite(failure: Throwable?) {
+        isRequestWritten = failure == null
+        if (failure != null && failure !is ClosedChannelException) isReset = true
     }
 
     /** Detaches the listener and closes the connection, so that the server can stop working on the request. */
