--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/TransferCodings.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/TransferCodings.kt
@@ -12,5 +12,7 @@
 internal fun requireReadableTransferCoding(headers: HttpHeaders) {
     val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
     val isReadable = codings.isEmpty() || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.singleOrNull())
-    require(isReadable) { "unsupported Transfer-Encoding \"${codings.joinToString()}\"; send chunked or a Content-Length" }
+    require(isReadable) {
+        "unsupported Transfer-Encoding \"${codings.joinToString()}\"; send chunked or a Content-Length"
+    }
 }
--- a/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
+++ b/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
@@ -123,8 +123,8 @@
             }
             withServer(handler) { server ->
                 val inner = "POST /inner HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-                server.exchange("POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: $coding\r\n\r\n$inner") shouldStartWith
-                    "HTTP/1.1 400"
+                val outer = "POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: $coding\r\n\r\n"
+                server.exchange(outer + inner) shouldStartWith "HTTP/1.1 400"
                 paths.toList() shouldBe emptyList()
             }
         }
