Recognise a second answer within another one

Whole second answers between answers broke nothing, so identifiers are compared as they should be.

Netty's decoder reads "HTTP/1.1 200 " followed by "HTTP/1.1 500 Failed" as one head: the status of the copy, the identifier and mark of the failure. Nothing looked for a head in events or in bodies without a length.

A head with a second status line is now malformed. A stream without chunks is lost before an event that holds one, and goes on elsewhere if it may; a body without a length that holds one is no success.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/AnswerDecoder.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 private const val MAXIMUM_HEADER_BYTES = 64 * 1024
@@ -30,6 +31,7 @@
 
     /** The decoder calls this once for each head, and rejects the answer if it throws. */
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean {
+        requireSingleHead(msg as HttpResponse)
         val isEmpty = isHeadRequest || super.isContentAlwaysEmpty(msg)
         if (!isEmpty) requireReadableTransferCoding(msg.headers())
         return isEmpty
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -20,10 +20,12 @@
 import org.ibismoor.gateway.internal.net.AnswerListener
 import org.ibismoor.gateway.internal.net.HttpCall
 import org.ibismoor.gateway.internal.net.PendingCall
+import org.ibismoor.gateway.internal.net.hasStatusLine
 import org.ibismoor.gateway.internal.net.removeHopByHopHeaders
 import java.util.concurrent.TimeUnit
 
 private const val EVENT_STREAM = "text/event-stream"
+private const val SECOND_ANSWER = "second_answer"
 private const val FIRST_SUCCESS = 200
 private const val FIRST_REDIRECT = 300
 
@@ -146,9 +148,13 @@
     }
 
     private fun forwardEvents(current: BufferedAnswer, part: ByteBuf) {
-        val events = exchange.takeEvents(part)
+        val events = exchange.takeEvents(part, current.isChunked)
         if (exchange.isEventTooLarge) return fail("event_too_large")
-        if (events == null) return
+        if (events != null) forwardWholeEvents(current, events)
+        if (exchange.hasForeignAnswer) fail(SECOND_ANSWER)
+    }
+
+    private fun forwardWholeEvents(current: BufferedAnswer, events: ByteBuf) {
         lastReceivedAt = System.nanoTime()
         val isFirst = !hasForwarded
         exchange.startAnswer(current)
@@ -205,6 +211,7 @@
         when {
             current.fields.isNotExecuted ->
                 finish(NotExecuted(status, current.fields.isOtherUpstream, current.fields.load), isDelivered = false)
+            !current.isDelimited && hasStatusLine(current.text()) -> fail(SECOND_ANSWER)
             isDeliverable(current) && !exchange.isAnswerStarted -> {
                 exchange.sendAnswer(current)
                 finish(Delivered(0, current.fields.load), isDelivered = true)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/BufferedAnswer.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/BufferedAnswer.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import org.ibismoor.gateway.api.AnswerFields
 import java.io.ByteArrayOutputStream
 
@@ -19,9 +20,16 @@
 
     val size: Int get() = bytes.size()
 
+    /** True if a length or chunks mark the end of the body. Otherwise all that the upstream writes belongs to it. */
+    val isDelimited: Boolean get() = isChunked || HttpUtil.isContentLengthSet(head)
+
+    val isChunked: Boolean get() = HttpUtil.isTransferEncodingChunked(head)
+
     fun add(part: ByteBuf) {
         part.getBytes(part.readerIndex(), bytes, part.readableBytes())
     }
 
+    fun text(): String = bytes.toString(Charsets.ISO_8859_1)
+
     fun toByteArray(): ByteArray = bytes.toByteArray()
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/EventScanner.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/EventScanner.kt
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufAllocator
+import org.ibismoor.gateway.internal.net.hasStatusLine
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
@@ -33,27 +34,37 @@
     var lastEventId: Long? = startAfterEventId
         private set
 
+    /** True once an event held the status line of another answer. It and what follows are not forwarded. */
+    var hasForeignAnswer: Boolean = false
+        private set
+
     /** True if the bytes received so far end inside an event or inside a line. */
     val isInsideEvent: Boolean get() = hasField || lineOffset < partial.readableBytes()
 
     val isEventTooLarge: Boolean get() = partial.readableBytes() > MAXIMUM_EVENT_BYTES
 
-    /** Appends [part] and takes the events that it completes, without those up to [lastEventId]; null if none. */
-    fun takeEvents(part: ByteBuf): ByteBuf? {
+    /**
+     * Appends [part] and takes the events that it completes, without those up to [lastEventId]; null if none. With
+     * [isChunked] false nothing shows where the upstream's bytes belong, so that another answer may stand within them.
+     */
+    fun takeEvents(part: ByteBuf, isChunked: Boolean): ByteBuf? {
         partial.writeBytes(part)
         var length = firstEventLength()
         if (length == 0) return null
         val out = allocator.buffer(partial.readableBytes())
-        while (length > 0) {
-            copyIfNew(partial.readSlice(length), out)
+        while (length > 0 && !hasForeignAnswer) {
+            copyIfNew(partial.readSlice(length), out, isChunked)
             length = firstEventLength()
         }
         partial.discardSomeReadBytes()
         return if (out.isReadable) out else out.release().let { null }
     }
 
-    private fun copyIfNew(event: ByteBuf, out: ByteBuf) {
-        val eventId = eventIdOf(event)
+    private fun copyIfNew(event: ByteBuf, out: ByteBuf, isChunked: Boolean) {
+        val text = event.toString(Charsets.ISO_8859_1)
+        hasForeignAnswer = !isChunked && hasStatusLine(text)
+        if (hasForeignAnswer) return
+        val eventId = eventIdOf(text)
         val last = lastEventId
         if (eventId != null && last != null && eventId <= last) return
         if (eventId != null) lastEventId = eventId
@@ -102,8 +113,9 @@
     /** Comments and blank lines after the last event. They are forwarded only at the end of a complete answer. */
     fun takeRemainder(): ByteBuf = partial.readRetainedSlice(partial.readableBytes())
 
-    /** Discards the bytes of a truncated event. */
+    /** Discards the bytes of a truncated event, or those of another answer. */
     fun dropPartialEvent() {
+        hasForeignAnswer = false
         partial.clear()
         startEvent()
     }
@@ -113,7 +125,5 @@
     }
 }
 
-private fun eventIdOf(event: ByteBuf): Long? =
-    event.toString(Charsets.ISO_8859_1).lineSequence()
-        .firstOrNull { it.startsWith(ID_FIELD) }
-        ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
+private fun eventIdOf(event: String): Long? =
+    event.lineSequence().firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -143,15 +143,17 @@
         if (!output.writeBody(part)) attempt?.pauseReading(true)
     }
 
-    internal fun takeEvents(part: ByteBuf): ByteBuf? {
+    internal fun takeEvents(part: ByteBuf, isChunked: Boolean): ByteBuf? {
         isScanning = true
-        return scanner.takeEvents(part)
+        return scanner.takeEvents(part, isChunked)
     }
 
     internal val isInsideEvent: Boolean get() = isScanning && scanner.isInsideEvent
 
     internal val isEventTooLarge: Boolean get() = isScanning && scanner.isEventTooLarge
 
+    internal val hasForeignAnswer: Boolean get() = isScanning && scanner.hasForeignAnswer
+
     internal val hasEventId: Boolean get() = isScanning && scanner.lastEventId != null
 
     internal fun flush() = output.flush()
