Give names of leaders an age, and do not follow a silent one

Their record shows control processes that referred the operator to a leader for 15 s while no router near them had heard from one for half a minute.

Reproduced with real processes on loopback, in a trial outside the repository: two control processes outside the group whose settings name each other referred every read of 15 s to a leader that had been killed. Each took the answer of the other as fresh. A router that asks such a process alternates between it and the ended leader, never asks the others, and keeps its configuration.

Answers that name a leader now carry the age of that knowledge, and the latest contact counts; after two intervals a name is dropped. The field is added to the old form of the answer. A router no longer follows the name of a leader that left two reports in a row unanswered.

JoinTest ("processes outside the group do not name a leader that has ended to each other for ever", "the latest contact with a leader decides which one is named") and ControlHostsTest ("a process that names an ended leader does not keep the router from the other control processes") failed before. That the users' runs have this cause is inferred from their record.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -35,8 +35,8 @@
 /** Tell the control processes on [hosts], which are outside the group, that [leader] leads it. */
 data class SendLeaderAnnouncement(val leader: ReplicaId, val hosts: List<String>) : CoordinationEffect
 
-/** Answer a join request or a leader query with the [leader], if it is known. */
-data class AnswerJoin(val reply: Long, val leader: ReplicaId?) : CoordinationEffect
+/** Answer a join request or a leader query with the [leader], if it is known, and the age of that knowledge. */
+data class AnswerJoin(val reply: Long, val leader: ReplicaId?, val ageMillis: Long = 0) : CoordinationEffect
 
 /** This replica became the leader or stopped being the leader. */
 data class NotifyLeadershipChange(val isLeading: Boolean, val term: Long, val leader: ReplicaId?) : CoordinationEffect
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
@@ -27,8 +27,11 @@
 /** A request for the leader's name from an observer; answered by [AnswerJoin]. */
 data class LeaderQueried(val reply: Long) : CoordinationMessage
 
-/** Another replica's answer to a join request or a leader query of this one, or the announcement of a leader. */
-data class JoinAnswered(val leader: ReplicaId?) : CoordinationMessage
+/**
+ * Another replica's answer to a join request or a leader query of this one, or the announcement of a leader. The
+ * [leader] had contact with its group [ageMillis] ago.
+ */
+data class JoinAnswered(val leader: ReplicaId?, val ageMillis: Long = 0) : CoordinationMessage
 
 /** The platform's complete list of upstreams. */
 data class UpstreamListReceived(val upstreams: List<UpstreamEntry>) : CoordinationMessage
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/JoinSystem.kt
@@ -25,7 +25,7 @@
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 
-/** Join requests after which a leader is forgotten if no answer names it again. */
+/** Join requests after which a leader is forgotten if no answer has newer knowledge of it. */
 private const val NAMED_LEADER_REQUESTS = 2
 
 internal class JoinSystem(private val settings: CoordinationSettings) : CoordinationSystem {
@@ -37,26 +37,25 @@
         val joining = tick.messages.filterIsInstance<JoinReceived>()
         val replies = joining.map { it.reply } + tick.messages.filterIsInstance<LeaderQueried>().map { it.reply }
         val requested = requestJoin(withPlannedMembers(next, joining, tick.now), tick.now)
-        return CoordinationStep(
-            requested.tables,
-            replies.map { AnswerJoin(it, leaderNamedBy(next)) } + requested.effects,
-        )
+        return CoordinationStep(requested.tables, replies.map { leaderAnswer(it, next, tick.now) } + requested.effects)
     }
 
     /** A replica without a group receives no messages, so its first join request has to be due by time. */
     fun nextDue(tables: CoordinationTables): Timestamp? =
         tables.join.nextRequestAt ?: tables.consensus.now.takeUnless { hasJoined(tables) }
 
-    /** An answer without a leader does not contradict one that names it: not every host knows the leader. */
+    /**
+     * The latest contact with a leader counts, not the latest answer: processes outside the group ask each other too,
+     * and would name a leader that has ended to each other for ever. An answer without a leader does not contradict one
+     * that names it, since not every host knows the leader.
+     */
     private fun withNamedLeader(row: JoinRow, answers: List<JoinAnswered>, now: Timestamp): JoinRow {
-        val named = answers.mapNotNull { it.leader }.lastOrNull()
-        val namedAt = row.leaderNamedAt
-        return when {
-            named != null -> row.copy(leader = named, leaderNamedAt = now)
-            namedAt != null && now - namedAt >= NAMED_LEADER_REQUESTS * settings.joinRetryMillis ->
-                row.copy(leader = null, leaderNamedAt = null)
-            else -> row
-        }
+        val rows = answers.filter { it.leader != null }
+            .map { row.copy(leader = it.leader, leaderNamedAt = Timestamp(now.millis - it.ageMillis)) }
+        val newest = (rows + row).maxBy { it.leaderNamedAt?.millis ?: Long.MIN_VALUE }
+        val isExpired = newest.leaderNamedAt
+            ?.let { now - it >= NAMED_LEADER_REQUESTS * settings.joinRetryMillis } ?: false
+        return if (isExpired) newest.copy(leader = null, leaderNamedAt = null) else newest
     }
 
     private fun hasJoined(tables: CoordinationTables): Boolean {
@@ -83,8 +82,13 @@
     private fun CoordinationTables.withNextRequest(now: Timestamp): CoordinationTables =
         copy(join = join.copy(nextRequestAt = now + settings.joinRetryMillis))
 
-    private fun leaderNamedBy(tables: CoordinationTables): ReplicaId? =
-        if (tables.leadingSince != null) tables.replica else tables.otherLeader()
+    /** What this replica was only told by others keeps its age. */
+    private fun leaderAnswer(reply: Long, tables: CoordinationTables, now: Timestamp): AnswerJoin {
+        val leader = if (tables.leadingSince != null) tables.replica else tables.otherLeader()
+        val isTold = tables.leadingSince == null && tables.consensus.status().leader == null
+        val toldAt = tables.join.leaderNamedAt.takeIf { isTold }
+        return AnswerJoin(reply, leader, if (toldAt == null) 0 else now - toldAt)
+    }
 
     /**
      * The first check of a leadership always requests the members, in the place of a request that the consensus still
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/JoinTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/JoinTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import org.ibismoor.coordination.api.AnswerJoin
 import org.ibismoor.coordination.api.AnswerRead
 import org.ibismoor.coordination.api.AskLeader
 import org.ibismoor.coordination.api.CoordinationEffect
@@ -11,6 +12,7 @@
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationStart
 import org.ibismoor.coordination.api.JoinAnswered
+import org.ibismoor.coordination.api.LeaderQueried
 import org.ibismoor.coordination.api.OperatorAnswer
 import org.ibismoor.coordination.api.ReadReceived
 import org.ibismoor.coordination.api.SeedHostsChanged
@@ -55,6 +57,30 @@
         replica.answerToRead(2 + 2 * SETTINGS.joinRetryMillis) shouldBe Unconfirmed
     }
 
+    "processes outside the group do not name a leader that has ended to each other for ever" {
+        // Guards against operators and routers that are sent to an ended leader, although another one leads.
+        val pair = listOf(ReplicaWithoutGroup(isObserver = true), ReplicaWithoutGroup(isObserver = true))
+        pair.forEach { it.receive(1, JoinAnswered(LEADER)) }
+        for (millis in 2..4_000L step SETTINGS.joinRetryMillis / 2) {
+            pair.forEach { replica ->
+                val other = pair.single { it !== replica }
+                val answer = other.receive(millis, LeaderQueried(1)).filterIsInstance<AnswerJoin>().single()
+                replica.receive(millis, JoinAnswered(answer.leader, answer.ageMillis))
+            }
+        }
+        pair.forEach { it.answerToRead(4_001) shouldBe Unconfirmed }
+    }
+
+    "the latest contact with a leader decides which one is named" {
+        // Guards against a former leader that replaces the present one, since its name arrives later.
+        val replica = ReplicaWithoutGroup()
+        replica.receive(500, JoinAnswered(OTHER_LEADER))
+        replica.receive(510, JoinAnswered(LEADER, ageMillis = 400))
+        replica.answerToRead(511) shouldBe AskLeader(OTHER_LEADER)
+        replica.receive(520, JoinAnswered(LEADER, ageMillis = 3), JoinAnswered(OTHER_LEADER, ageMillis = 90))
+        replica.answerToRead(521) shouldBe AskLeader(LEADER)
+    }
+
     "an observer asks for the leader, never for membership, and refers operators to it" {
         // Guards against a voter without a disk, which forgets its vote and its log with a restart.
         val observer = ReplicaWithoutGroup(isObserver = true)
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -219,7 +219,7 @@
             is SendToReplica -> sendTo(host, effect)
             is SendJoinRequest -> (effect.hosts - host).forEach { send(host, it, JoinReceived(0, effect.replica)) }
             is SendLeaderAnnouncement -> effect.hosts.forEach { send(host, it, JoinAnswered(effect.leader)) }
-            is AnswerJoin -> (hosts - host).forEach { send(host, it, JoinAnswered(effect.leader)) }
+            is AnswerJoin -> (hosts - host).forEach { send(host, it, JoinAnswered(effect.leader, effect.ageMillis)) }
             else -> deliverAnswer(effect)
         }
     }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
@@ -3,7 +3,9 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentHashSetOf
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.core.api.Timestamp
@@ -20,6 +22,8 @@
     /** When the leader last answered. */
     val leaderAnsweredAt: Timestamp? = null,
     val nextReportAt: Timestamp,
+    /** Reports in a row that each host has not answered; hosts that answered the last one are left out. */
+    val lostReports: PersistentMap<String, Int> = persistentHashMapOf(),
     /** A report is in flight. */
     val isReporting: Boolean = false,
     val lastReportAt: Timestamp = nextReportAt,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -29,6 +29,9 @@
 
 private const val MAXIMUM_CONTROL_HOSTS = 16
 
+/** Reports in a row that a leader may leave unanswered before its name is no longer followed; one can be lost. */
+private const val MAXIMUM_LOST_REPORTS = 2
+
 /** Delay before the report is sent to the leader that another control process has named. */
 private const val LEADER_REDIRECT_MILLIS = 20L
 
@@ -55,14 +58,15 @@
 
     private fun handleLostReport(tables: ForwardingTables, message: ReportLost, now: Timestamp): ForwardingStep {
         val fleet = tables.fleet
+        val host = fleet.controlHosts.first()
         val next = fleet.copy(
-            controlHosts = fleet.controlHosts.drop(1) + fleet.controlHosts.take(1),
+            controlHosts = fleet.controlHosts.drop(1) + host,
+            lostReports = fleet.lostReports.put(host, (fleet.lostReports[host] ?: 0) + 1),
             isReporting = false,
             nextReportAt = now + settings.times.reportIntervalMillis / 2,
         )
         val age = fleet.leaderAnsweredAt?.let { now - it }
         val isFirstLoss = age != null && age < 2 * settings.times.reportIntervalMillis + REPORT_TIMEOUT_MILLIS
-        val host = fleet.controlHosts.first()
         val status = tables.configurationStatus.let {
             it.copy(lostReports = it.lostReports + 1, lastLoss = message.cause)
         }
@@ -95,12 +99,15 @@
         val fleet = tables.fleet.withControlHosts(replicas)
         val isComplete = answer.isLeading && replicas.isNotEmpty()
         val next = if (isComplete) fleet.withoutFormerHosts(replicas) else fleet
-        return tables.copy(fleet = next.copy(isReporting = false))
+        val lostReports = fleet.lostReports.remove(tables.fleet.controlHosts.first())
+        return tables.copy(fleet = next.copy(isReporting = false, lostReports = lostReports))
     }
 
+    /** A leader that answers no reports may have ended unnoticed by who names it, so other hosts are asked first. */
     private fun withLeaderFirst(tables: ForwardingTables, answer: ReportAnswer, now: Timestamp): ForwardingTables {
         val fleet = tables.fleet
         val leader = answer.leader?.let(::hostOf)
+            ?.takeIf { (fleet.lostReports[it] ?: 0) < MAXIMUM_LOST_REPORTS }
         val current = fleet.controlHosts
         val hosts = leader?.let { listOf(it) + (current - it) } ?: (current.drop(1) + current[0])
         val pause = if (leader == null) settings.times.reportIntervalMillis / 2 else LEADER_REDIRECT_MILLIS
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -145,7 +145,7 @@
 
     private fun answerWithLeader(message: (Long) -> CoordinationMessage): CompletableFuture<SimpleAnswer> =
         joinReplies.openExchange { replica.post(message(it)) }
-            .thenApply { SimpleAnswer(STATUS_OK, InternalJson.encodeToString(it.leader)) }
+            .thenApply { SimpleAnswer(STATUS_OK, InternalJson.encodeToString(namedLeader(it))) }
 
     private fun answerDocument(request: SimpleRequest): SimpleAnswer =
         documents.answer(request).also { answer ->
@@ -174,7 +174,7 @@
                 is AnswerReport -> reportReplies.complete(effect.reply, effect.answer)
                 is AnswerPublication -> operatorReplies.complete(effect.reply, effect.answer)
                 is AnswerRead -> operatorReplies.complete(effect.reply, effect.answer)
-                is AnswerJoin -> joinReplies.complete(effect.reply, JoinAnswered(effect.leader))
+                is AnswerJoin -> joinReplies.complete(effect.reply, JoinAnswered(effect.leader, effect.ageMillis))
                 else -> handleNotification(tables, effect)
             }
         }
@@ -241,8 +241,12 @@
 
     private fun askForLeader(hosts: List<String>, path: String, body: String?) =
         hosts.filter { it != settings.host }.forEach { host ->
+            val startedAt = clock.now()
             client.call("$host:${settings.port}", if (body == null) "GET" else "POST", path, body, JOIN_TIMEOUT_MILLIS)
-                .thenAccept { replica.post(JoinAnswered(InternalJson.decodeFromString(it.body))) }
+                .thenAccept { answer ->
+                    val leader = InternalJson.decodeFromString<NamedLeader?>(answer.body)
+                    replica.post(leader.toMessage(clock.now() - startedAt))
+                }
         }
 
     private fun announceLeader(effect: SendLeaderAnnouncement) {
