--- a/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
+++ b/fleet/src/main/kotlin/org/ibismoor/fleet/api/ControlSettings.kt
@@ -19,7 +19,8 @@
     val snapshotEntries: Int = DEFAULT_SNAPSHOT_ENTRIES,
     val snapshotCharacters: Long = DEFAULT_SNAPSHOT_CHARACTERS,
     val ledgerRecords: Int = DEFAULT_LEDGER_RECORDS,
-    val consensus: ConsensusSettings = ConsensusSettings(),
+    /** A replica that lags while a snapshot of the largest fleet reaches it still finds the entries after it. */
+    val consensus: ConsensusSettings = ConsensusSettings(retainedCharacters = DEFAULT_SNAPSHOT_CHARACTERS),
     val ledger: DomainLedgerSettings = DomainLedgerSettings(),
     val membership: MembershipSettings = MembershipSettings(),
     val shareSizing: ShareSizingPolicy = demandWeightedSizing(),
