--- a/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/LostDisksTest.kt
@@ -83,14 +83,9 @@
         // Guards against a lost replica that stays a voter beside its successor: the next lost disk leaves no majority.
         repeat(SEED_COUNT) { seed ->
             val fleet = startCompleteFleet(seed)
-            val lost = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
-            fleet.kill(lost)
+            killFollower(fleet)
             val learner = addSlowLearner(fleet)
-            fleet.run(SETTINGS.joinRetryMillis * 2)
-            fleet.heal()
-            fleet.run(1_000)
-            hasCompleteGroup(fleet) shouldBe true
-            fleet.votersAt(checkNotNull(fleet.leader)) shouldContain learner
+            checkCompleteGroupAfterCatchUp(fleet, learner)
         }
     }
 
@@ -98,15 +93,10 @@
         // Guards against a voter more than wanted, which makes the majority larger but no loss more tolerable.
         repeat(SEED_COUNT) { seed ->
             val fleet = startCompleteFleet(seed)
-            val lost = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
-            fleet.kill(lost)
+            val lost = killFollower(fleet)
             addSlowLearner(fleet)
             fleet.start(lost)
-            fleet.run(SETTINGS.joinRetryMillis * 2)
-            fleet.heal()
-            fleet.run(1_000)
-            hasCompleteGroup(fleet) shouldBe true
-            fleet.votersAt(checkNotNull(fleet.leader)) shouldContain lost
+            checkCompleteGroupAfterCatchUp(fleet, lost)
         }
     }
 
@@ -176,6 +166,22 @@
     return fleet
 }
 
+/** Kills a voter that does not lead, and returns its host. */
+private fun killFollower(fleet: SimulatedFleet): String {
+    val follower = fleet.votersAt(checkNotNull(fleet.leader)).first { it != fleet.leader }
+    fleet.kill(follower)
+    return follower
+}
+
+/** Reaches the slow learner only after two checks of the members, and expects a complete group with [voter] in it. */
+private fun checkCompleteGroupAfterCatchUp(fleet: SimulatedFleet, voter: String) {
+    fleet.run(SETTINGS.joinRetryMillis * 2)
+    fleet.heal()
+    fleet.run(1_000)
+    hasCompleteGroup(fleet) shouldBe true
+    fleet.votersAt(checkNotNull(fleet.leader)) shouldContain voter
+}
+
 /** Runs until the leader has added a learner, which it then cannot reach. The result is the host of the learner. */
 private fun addSlowLearner(fleet: SimulatedFleet): String {
     runUntil(fleet) { fleet.leader?.let { fleet.votersAt(it).size < fleet.membersAt(it).size } ?: false }
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/CutCopyTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/CutCopyTest.kt
@@ -92,6 +92,7 @@
     }
 
     "an event of a stream in chunks may hold the text of an answer" {
+        // Guards against a stream that is broken off because it quotes an answer.
         val event = "id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: Server: a\r\n\r\n"
         val upstream = RawAnswer { _, output, _ ->
             val head = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n$MARKED${STREAM}Transfer-Encoding: chunked\r\n\r\n"
@@ -112,6 +113,7 @@
     }
 
     "a body with a length may hold the text of an answer" {
+        // Guards against a whole answer that is lost because it quotes another one.
         val text = answer("200 OK", "c0", "quoted", true)
         RouterFixture({ request, output, _ -> output.write(plainAnswer(request, text)) }).use { fixture ->
             fixture.exchange(request("POST /once/1")) shouldContain text
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/ResetAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/ResetAnswerTest.kt
@@ -35,6 +35,7 @@
     }
 
     "an answer without a length is complete if the server ends it before it reads the rest of the request" {
+        // Guards against an orderly end that is taken for a reset, since the rest of the request is not written either.
         eventsOfAnswer { socket ->
             socket.getOutputStream().write(", second half".encodeToByteArray())
             socket.shutdownOutput()
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/TransferCodingTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/TransferCodingTest.kt
@@ -69,6 +69,7 @@
     }
 
     "a body in chunks is one request" {
+        // Guards against a check that refuses the one coding that is decoded, whatever its case.
         RouterFixture({ request, output, _ -> output.write(plainAnswer(request, "done")) }).use { fixture ->
             fixture.exchange(request("POST /once/1", "Transfer-Encoding: Chunked", body = CHUNKS)) shouldStartWith
                 "HTTP/1.1 200"
