Log the amounts behind a refusal for tokens, and what a budget has left after a session

A refusal for tokens named its reason but not its cost, what the router held, or what the leader had left, so a spent budget looked like one whose tokens other routers hold.

Change: request_refused has cost, held, reserved, unissued and unspent for share_exhausted and budget_exhausted; session_started has unspent_per_mille, what all sessions can still spend by the log. Gauges of control processes: ibismoor_issued_tokens and ibismoor_logged_spent_tokens.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/BudgetRow.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/BudgetRow.kt
@@ -19,4 +19,7 @@
 ) {
     /** Tokens issued and not returned, by running and ended sessions. */
     val outstanding: Long get() = ended + sessions.values.sumOf { it.held }
+
+    /** Tokens that are spent for good according to the log, which has the spending of running sessions with a delay. */
+    val loggedSpending: Long get() = ended + sessions.values.sumOf { it.settled }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -52,10 +52,15 @@
 
 /**
  * A router started a new session. Tokens that its previous session did not return count as spent: [heldPerMille] of the
- * sum of all budgets. The session had not reported [strandedPerMille] of that sum as spent.
+ * sum of all budgets. The session had not reported [strandedPerMille] of that sum as spent. By the log, all sessions
+ * together can still spend [unspentPerMille] of it.
  */
-data class NotifySessionStart(val router: RouterId, val heldPerMille: Long, val strandedPerMille: Long) :
-    CoordinationEffect
+data class NotifySessionStart(
+    val router: RouterId,
+    val heldPerMille: Long,
+    val strandedPerMille: Long,
+    val unspentPerMille: Long,
+) : CoordinationEffect
 
 /** The leader's belief about a prompt part has changed, after crashes at [moments] distinct moments. */
 data class NotifyPromptPart(val part: String, val belief: PartBelief, val moments: Int, val failedProbes: Int) :
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -67,7 +67,14 @@
         val allowances = state.budgets.values.mapNotNull { row -> earlier?.let(row.sessions::get) }
         val held = allowances.sumOf { it.held }
         val stranded = allowances.sumOf { (it.held - it.settled).coerceAtLeast(0) }
-        return NotifySessionStart(start.router, held * PER_MILLE / total, stranded * PER_MILLE / total)
+        val startedState = applyCommand(state, MoveAllowances(listOf(start), emptyList()))
+        val spent = startedState.budgets.values.sumOf { it.loggedSpending }
+        return NotifySessionStart(
+            start.router,
+            heldPerMille = held * PER_MILLE / total,
+            strandedPerMille = stranded * PER_MILLE / total,
+            unspentPerMille = (total - spent) * PER_MILLE / total,
+        )
     }
 
     /** A new leader may not have applied a configuration or budget that the earlier one has confirmed. */
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SessionStartTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SessionStartTest.kt
@@ -28,6 +28,12 @@
         val tables = leaderTables(state, listOf(report), leadingMillis = 1_000)
         val tick = Tick(Timestamp(1_000), WallTime(1_000), listOf(ReportReceived(1, report)))
         val effects = ReportSystem(TextCodec(), CoordinationSettings()).run(tables, tick).effects
-        effects.filterIsInstance<NotifySessionStart>() shouldBe listOf(NotifySessionStart(RouterId(HOST), 700, 400))
+        val expected = NotifySessionStart(
+            RouterId(HOST),
+            heldPerMille = 700,
+            strandedPerMille = 400,
+            unspentPerMille = 300,
+        )
+        effects.filterIsInstance<NotifySessionStart>() shouldBe listOf(expected)
     }
 })
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -6,6 +6,7 @@
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.forwarding.api.AllowanceRow
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptResult
@@ -17,6 +18,8 @@
 import org.ibismoor.forwarding.api.RefuseRequest
 import org.ibismoor.forwarding.api.RequestRow
 
+private val TOKEN_REASONS = setOf(RefusalReason.SHARE_EXHAUSTED, RefusalReason.BUDGET_EXHAUSTED)
+
 /** Refuses [request]. The refusal has a retry time only if the request has not run. */
 internal fun refuseRequest(
     tables: ForwardingTables,
@@ -27,9 +30,7 @@
 ): ForwardingStep {
     val outcome = if (request.mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
     val allowance = tables.allowanceOf(request.organisation)
-    val decision = logDecision(
-        DecisionKind.REQUEST_REFUSED,
-        request.head.callId,
+    val facts = arrayOf(
         "reason" to reason.code,
         "outcome" to outcome.text,
         "route" to request.route.id,
@@ -40,6 +41,8 @@
         "allowance_age_ms" to allowance.updatedAt?.let { now - it },
         "took_ms" to now - request.arrivedAt,
     )
+    val tokens = if (reason in TOKEN_REASONS) tokenFacts(request, allowance) else emptyArray()
+    val decision = logDecision(DecisionKind.REQUEST_REFUSED, request.head.callId, *facts, *tokens)
     val retryAfter = retryAfterMillis?.takeIf { outcome == Outcome.NOT_RUN }
     return ForwardingStep(
         tables.withoutRequest(request, tables.costOf(request, request.deliveredEvents)),
@@ -47,6 +50,16 @@
     )
 }
 
+/** The amounts that decide on a refusal for want of tokens. The last two are the leader's, as of its last answer. */
+private fun tokenFacts(request: RequestRow, allowance: AllowanceRow): Array<Pair<String, Any?>> =
+    arrayOf(
+        "cost" to request.head.prompt?.maximumCost,
+        "held" to allowance.held,
+        "reserved" to allowance.reserved,
+        "unissued" to allowance.unissued,
+        "unspent" to allowance.unspent.takeIf { allowance.updatedAt != null },
+    )
+
 internal fun resultText(result: AttemptResult): String =
     when (result) {
         is Delivered -> "delivered"
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/AllowanceTest.kt
@@ -11,10 +11,12 @@
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.CallerDisconnected
+import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.LoanReceived
 import org.ibismoor.forwarding.api.LoanRequested
+import org.ibismoor.forwarding.api.LogDecision
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
 import org.ibismoor.forwarding.api.RequestLoan
@@ -53,6 +55,26 @@
         (router.refusalOf(number)?.retryAfterMillis != null).shouldBeTrue()
     }
 
+    "a refusal for want of tokens names the amounts that decided" {
+        // Guards against a log that cannot tell a spent budget from one whose tokens other routers hold.
+        val router = RouterHarness(budget = 1_000_000)
+        router.issueLimit = 0
+        router.start()
+        val prompt = promptOf(2_000, 10)
+        router.sendRequest("/chat/1", prompt = prompt)
+        router.advance(400)
+        val decision = router.effects.filterIsInstance<LogDecision>().map { it.decision }
+            .single { it.kind == DecisionKind.REQUEST_REFUSED }
+        val amounts = mapOf(
+            "cost" to prompt.maximumCost,
+            "held" to 0L,
+            "reserved" to 0L,
+            "unissued" to 0L,
+            "unspent" to 1_000_000L,
+        )
+        decision.facts.filter { it.name in amounts }.associate { it.name to it.value } shouldBe amounts
+    }
+
     "a router without contact with control processes requests loans from other routers" {
         val router = RouterHarness(budget = 1_000_000).start()
         router.isControlUnreachable = true
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -25,6 +25,8 @@
         registerGauge("ibismoor_configuration_version") { tables().state.configuration?.version ?: 0 }
         registerGauge("ibismoor_routers") { tables().routers.size }
         registerGauge("ibismoor_stranded_tokens") { tables().state.budgets.values.sumOf { it.ended - it.endedSettled } }
+        registerGauge("ibismoor_issued_tokens") { tables().state.budgets.values.sumOf { it.outstanding } }
+        registerGauge("ibismoor_logged_spent_tokens") { tables().state.budgets.values.sumOf { it.loggedSpending } }
         registerGauge("ibismoor_voters") { tables().consensus.status().members.count { it.isVoter } }
         registerGauge("ibismoor_log_index") { tables().appliedIndex }
         registerGauge("ibismoor_quarantined_parts") { tables().quarantine.quarantines.size }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -224,6 +224,7 @@
                     "router" to effect.router,
                     "held_before_per_mille" to effect.heldPerMille,
                     "stranded_per_mille" to effect.strandedPerMille,
+                    "unspent_per_mille" to effect.unspentPerMille,
                 )
             is NotifyPromptPart ->
                 log.write(
