--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/PowerLossTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/PowerLossTest.kt
@@ -7,6 +7,8 @@
 private const val SEED_COUNT = 10
 private const val REQUESTS_PER_SECOND = 25
 private const val PARTITION_SECONDS = 8
+private const val MILLIS_PER_SECOND = 1_000
+private val PROMPT = promptOf(900, 100)
 
 /** Requests that the budget covers: the traffic of one minute. */
 private const val BUDGET_REQUESTS = 1_500
@@ -44,5 +46,8 @@
     return fleet.refused - refusedBefore
 }
 
+/** All callers stay at the router that is not colocated. */
 private fun startFleet(seed: Int): BudgetFleet =
-    BudgetFleet(seed, BUDGET_REQUESTS * REQUEST_TOKENS).apply { requestsPerSecond = REQUESTS_PER_SECOND }
+    BudgetFleet(seed, mapOf(COUNCIL to BUDGET_REQUESTS * PROMPT.maximumCost), { fleet, random ->
+        if (random.nextInt(MILLIS_PER_SECOND) < REQUESTS_PER_SECOND) fleet.sendRequest(1, COUNCIL, PROMPT)
+    })
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentHashMap
 import org.ibismoor.coordination.api.AllowanceUpdate
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
@@ -164,7 +165,14 @@
 internal fun promptOf(input: Long, output: Long): PromptShape =
     PromptShape(input, output, listOf(PromptPart("shared", input / 2), PromptPart("own", input - input / 2)))
 
-internal fun configurationOf(version: Long, budget: Long?): ForwardingConfiguration {
+/** The key of all callers of [organisation]. */
+internal fun keyOf(organisation: OrganisationId): ApiKeyDigest =
+    if (organisation == COUNCIL) KEY else ApiKeyDigest("key-$organisation")
+
+internal fun configurationOf(version: Long, budget: Long?): ForwardingConfiguration =
+    configurationOf(version, mapOf(COUNCIL to budget))
+
+internal fun configurationOf(version: Long, budgets: Map<OrganisationId, Long?>): ForwardingConfiguration {
     val routes = persistentListOf(
         route("/booking/", WorkKind.NON_IDEMPOTENT, DESK, attempts = 2),
         route("/status/", WorkKind.IDEMPOTENT, DESK, attempts = 2),
@@ -178,8 +186,8 @@
             ENGINES to GroupSettings(ENGINES, 100, EngineSettings(8, 100_000, tokensPerEvent = 3)),
             DESK to GroupSettings(DESK, 100, null),
         ),
-        organisations = persistentHashMapOf(COUNCIL to OrganisationRow(COUNCIL, null, budget)),
-        keys = persistentHashMapOf(KEY to COUNCIL),
+        organisations = budgets.mapValues { (id, budget) -> OrganisationRow(id, null, budget) }.toPersistentHashMap(),
+        keys = budgets.keys.associateBy(::keyOf).toPersistentHashMap(),
         limits = CallerLimits(),
     )
 }
