--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -12,7 +12,9 @@
 import org.ibismoor.forwarding.api.AttemptResult
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
+import org.ibismoor.forwarding.api.Fact
 import org.ibismoor.forwarding.api.ForwardingTables
+import org.ibismoor.forwarding.api.LogDecision
 import org.ibismoor.forwarding.api.NotExecuted
 import org.ibismoor.forwarding.api.NotSent
 import org.ibismoor.forwarding.api.RefuseRequest
@@ -30,7 +32,9 @@
 ): ForwardingStep {
     val outcome = if (request.mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
     val allowance = tables.allowanceOf(request.organisation)
-    val facts = arrayOf(
+    val decision = logDecision(
+        DecisionKind.REQUEST_REFUSED,
+        request.head.callId,
         "reason" to reason.code,
         "outcome" to outcome.text,
         "route" to request.route.id,
@@ -41,25 +45,26 @@
         "allowance_age_ms" to allowance.updatedAt?.let { now - it },
         "took_ms" to now - request.arrivedAt,
     )
-    val tokens = if (reason in TOKEN_REASONS) tokenFacts(request, allowance) else emptyArray()
-    val decision = logDecision(DecisionKind.REQUEST_REFUSED, request.head.callId, *facts, *tokens)
+    val tokens = if (reason in TOKEN_REASONS) tokenFacts(request, allowance) else emptyList()
     val retryAfter = retryAfterMillis?.takeIf { outcome == Outcome.NOT_RUN }
     return ForwardingStep(
         tables.withoutRequest(request, tables.costOf(request, request.deliveredEvents)),
-        listOf(RefuseRequest(request.number, reason, outcome, retryAfter), decision),
+        listOf(RefuseRequest(request.number, reason, outcome, retryAfter), decision.withFacts(tokens)),
     )
 }
 
 /** The amounts that decide on a refusal for want of tokens. The last two are the leader's, as of its last answer. */
-private fun tokenFacts(request: RequestRow, allowance: AllowanceRow): Array<Pair<String, Any?>> =
-    arrayOf(
-        "cost" to request.head.prompt?.maximumCost,
-        "held" to allowance.held,
-        "reserved" to allowance.reserved,
-        "unissued" to allowance.unissued,
-        "unspent" to allowance.unspent.takeIf { allowance.updatedAt != null },
+private fun tokenFacts(request: RequestRow, allowance: AllowanceRow): List<Fact> =
+    listOf(
+        Fact("cost", request.head.prompt?.maximumCost),
+        Fact("held", allowance.held),
+        Fact("reserved", allowance.reserved),
+        Fact("unissued", allowance.unissued),
+        Fact("unspent", allowance.unspent.takeIf { allowance.updatedAt != null }),
     )
 
+private fun LogDecision.withFacts(facts: List<Fact>) = LogDecision(decision.copy(facts = decision.facts + facts))
+
 internal fun resultText(result: AttemptResult): String =
     when (result) {
         is Delivered -> "delivered"
