Bound the tokens that all routers together hold in advance

Before the fault, routers refused requests with share_exhausted though the budget covered them.

Cause: what a router holds in advance was limited at each router only: at least 1/250 of a budget if callers are sent to it, its demand and a standard deviation, at most a quarter. The sum was nobody's limit. 91 listed routers hold 36 in 100 of each budget by the minimum alone; near its end that is all that is left, so others are refused, and a loss of power strands it.

Change: the leader divides a quarter of what is unspent among the routers by their demand over some 20 s, tells each its part (advanceLimit), and issues nothing in advance beyond the quarter, whoever asks. Tokens of requests under way count towards it and are issued beyond it.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceUpdate.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceUpdate.kt
@@ -22,4 +22,6 @@
     val evenDemandPerSecond: Double,
     /** Time of demand for which the router may hold tokens in advance; with 0 only those of requests in progress. */
     val horizonMillis: Long,
+    /** Most tokens that the router may hold in advance. A leader of an earlier release does not limit them. */
+    val advanceLimit: Long = Long.MAX_VALUE,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceUsage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/AllowanceUsage.kt
@@ -19,4 +19,6 @@
     val wanted: Long,
     /** The part of [wanted] for which requests are waiting. */
     val needed: Long,
+    /** [demandPerSecond] over a longer time; 0 from a router of an earlier release. */
+    val sustainedDemandPerSecond: Double = 0.0,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -17,6 +17,7 @@
 private const val COLOCATED_HORIZON_MILLIS = 0L
 private const val DEFAULT_HORIZON_MILLIS = 10_000L
 private const val HORIZON_DIVISOR = 5L
+private const val ADVANCE_DIVISOR = 4L
 private const val PERSISTENT_CALLERS_PERCENT = 95L
 private const val MINIMUM_ELECTION_MILLIS = 450L
 private const val MAXIMUM_ELECTION_MILLIS = 900L
@@ -61,11 +62,13 @@
     val colocatedHorizonMillis: Long = COLOCATED_HORIZON_MILLIS,
     /** Longest horizon of other routers, which a network partition may separate from the control processes. */
     val defaultHorizonMillis: Long = DEFAULT_HORIZON_MILLIS,
+    /** Routers hold tokens in advance for at most the time until a budget is spent, divided by this. */
+    val horizonDivisor: Long = HORIZON_DIVISOR,
     /**
-     * Routers hold tokens in advance for at most the time until a budget is spent, divided by this, so that a loss of
-     * all VMs strands a bounded part of what is left.
+     * All routers together hold in advance at most the unspent tokens of a budget divided by this, whatever their
+     * number, so that a loss of all VMs strands a bounded part of what is left.
      */
-    val horizonDivisor: Long = HORIZON_DIVISOR,
+    val advanceDivisor: Long = ADVANCE_DIVISOR,
     /**
      * Percentage of an organisation's demand above which its callers count as persistent callers of one router. Such a
      * router holds tokens for a network partition even if it is colocated.
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/FleetView.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/FleetView.kt
@@ -14,6 +14,8 @@
     /** Routers that callers are sent to. */
     val callers: List<RouterEntry>,
     val demands: PersistentMap<OrganisationId, DemandRow>,
+    /** Sums over all routers of the demand by which each takes part in what is held in advance. */
+    val advanceWeights: PersistentMap<OrganisationId, Double>,
 )
 
 /** Demand for an organisation's tokens, in tokens per second: of all routers, and of the one that has most of it. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/FleetViewSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/FleetViewSystem.kt
@@ -32,8 +32,27 @@
 internal fun isViewDue(tables: CoordinationTables, now: Timestamp): Boolean =
     tables.view?.let { now - it.at >= REFRESH_INTERVAL_MILLIS } ?: true
 
-internal fun fleetView(tables: CoordinationTables, settings: CoordinationSettings, now: Timestamp): FleetView =
-    FleetView(now, callerRouters(tables, settings).map { it.entry }, demands(tables.routers.values))
+internal fun fleetView(tables: CoordinationTables, settings: CoordinationSettings, now: Timestamp): FleetView {
+    val callers = callerRouters(tables, settings).map { it.entry }
+    val demands = demands(tables.routers.values)
+    val weights = advanceWeights(tables.routers.values, demands, DemandShares(tables, settings, callers))
+    return FleetView(now, callers, demands, weights)
+}
+
+private fun advanceWeights(
+    routers: Collection<RouterRow>,
+    demands: Map<OrganisationId, DemandRow>,
+    shares: DemandShares,
+): PersistentMap<OrganisationId, Double> {
+    val sums = HashMap<OrganisationId, Double>()
+    routers.forEach { router ->
+        router.usage.values.forEach { usage ->
+            val weight = shares.weight(router, usage.sustainedDemandPerSecond, demands[usage.organisation])
+            sums.merge(usage.organisation, weight, Double::plus)
+        }
+    }
+    return sums.toPersistentHashMap()
+}
 
 private fun demands(routers: Collection<RouterRow>): PersistentMap<OrganisationId, DemandRow> {
     val rows = HashMap<OrganisationId, DemandRow>()
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -24,12 +24,6 @@
 import org.ibismoor.coordination.api.SessionStart
 import org.ibismoor.core.api.Tick
 
-/**
- * Tokens issued in advance are at most the unissued tokens divided by this number, so that one router cannot hold all
- * the rest of a budget. Tokens for waiting requests are not limited so.
- */
-private const val ADVANCE_DIVISOR = 4L
-
 /** Spending alone is logged when the amount not yet in the log exceeds the budget divided by this number. */
 private const val UNLOGGED_SPENDING_DIVISOR = 200L
 private const val PER_MILLE = 1_000
@@ -50,7 +44,8 @@
 
     private fun processReports(tables: CoordinationTables, received: List<ReportReceived>): CoordinationStep {
         val isComplete = hasAppliedEarlierTerms(tables)
-        val plan = received.fold(AllowancePlan(tables.state)) { plan, message -> plan.withReport(message, isComplete) }
+        val emptyPlan = AllowancePlan(tables.state, SessionSpending(tables))
+        val plan = received.fold(emptyPlan) { plan, message -> plan.withReport(message, isComplete) }
         val exchanges = plan.deferred.map { PendingReport(it.reply, it.report) }
         val next = when {
             exchanges.isEmpty() -> tables
@@ -86,7 +81,7 @@
     private fun AllowancePlan.withReport(message: ReportReceived, isStateComplete: Boolean): AllowancePlan {
         val report = message.report
         val start = SessionStart(report.router, report.session).takeIf { state.sessions[it.router] != it.session }
-        val moves = report.usage.mapNotNull { moveFor(state, report, it) }
+        val moves = report.usage.mapNotNull { moveFor(report, it) }
         return when {
             start == null && moves.isEmpty() && isStateComplete -> copy(immediate = immediate + message)
             else -> copy(
@@ -98,13 +93,18 @@
         }
     }
 
-    private fun moveFor(state: CoordinationState, report: RouterReport, usage: AllowanceUsage): AllowanceMove? {
+    private fun AllowancePlan.moveFor(report: RouterReport, usage: AllowanceUsage): AllowanceMove? {
         val row = state.budgets[usage.organisation] ?: BudgetRow()
         val session = row.sessions[report.session] ?: SessionAllowance()
         val total = state.configuration?.budgets?.get(usage.organisation) ?: 0
         val unissuedTokens = unissued(state, usage.organisation, row).coerceAtLeast(0)
-        val requested = maxOf(usage.needed, minOf(usage.wanted, unissuedTokens / ADVANCE_DIVISOR))
-        val issued = requested.coerceIn(0, unissuedTokens)
+        val inAdvance = if (usage.wanted > usage.needed) {
+            val limit = spending.advanceTokens(row, usage.organisation, total, settings.advanceDivisor)
+            minOf(usage.wanted - usage.needed, limit)
+        } else {
+            0
+        }
+        val issued = (usage.needed + inAdvance).coerceIn(0, unissuedTokens)
         val isSpendingDue = usage.settled - session.settled > total / UNLOGGED_SPENDING_DIVISOR
         val isMoveNeeded = issued > 0 || usage.returned > session.returned || isSpendingDue
         val move = AllowanceMove(usage.organisation, report.session, issued, usage.returned, usage.settled)
@@ -114,6 +114,7 @@
     /** Result of the reports of one tick; [state] already includes the planned moves. */
     private data class AllowancePlan(
         val state: CoordinationState,
+        val spending: SessionSpending,
         val sessions: List<SessionStart> = emptyList(),
         val moves: List<AllowanceMove> = emptyList(),
         /** Reports to answer once the planned command is committed. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AllowanceRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AllowanceRow.kt
@@ -16,6 +16,8 @@
     val shortfall: Long = 0,
     /** Demand in tokens a second, exponentially weighted. */
     val demandPerSecond: Double = 0.0,
+    /** The same over a longer time. */
+    val sustainedDemandPerSecond: Double = 0.0,
     /**
      * Tokens that requests have reserved since the last report. Refused requests do not count, since callers repeat
      * them many times when a budget is nearly spent.
@@ -31,6 +33,8 @@
     val evenDemandPerSecond: Double = 0.0,
     /** Time for which the router holds tokens in advance, in milliseconds. */
     val horizonMillis: Long = 0,
+    /** Most tokens that the router may hold in advance, according to the leader at [updatedAt]. */
+    val advanceLimit: Long = 0,
     /** Tokens that were issued to no router at [updatedAt]. */
     val unissued: Long = 0,
     /** Tokens of the budget that were not known to be spent, according to the leader at [updatedAt]. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -187,6 +187,7 @@
         issued = maxOf(row.issued, update.issued),
         evenDemandPerSecond = update.evenDemandPerSecond,
         horizonMillis = update.horizonMillis,
+        advanceLimit = update.advanceLimit,
         unissued = update.unissued,
         unspent = update.unspent,
         updatedAt = now,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -22,11 +22,20 @@
 /** Weight of the latest measurement of demand for each second since the previous one. */
 private const val NEWEST_WEIGHT_PER_SECOND = 0.5
 
+/**
+ * The same for the demand by which the leader divides a budget among the routers. A router of a large fleet gets one
+ * request of an organisation in some seconds, and a faster measure would take tokens from it between two of them.
+ */
+private const val NEWEST_SUSTAINED_WEIGHT_PER_SECOND = 0.05
+
 /** Tokens are requested below the first multiple of the target and returned above the second. */
 private const val REFILL_THRESHOLD = 0.8
 private const val RETURN_THRESHOLD = 1.3
 
-/** A listed router holds at least a budget divided by this, so that a new organisation need not wait. */
+/**
+ * A listed router holds at least a budget divided by this, so that a new organisation need not wait, as far as the
+ * leader's limit for this router allows.
+ */
 private const val MINIMUM_HELD_DIVISOR = 250L
 
 /** A router holds at most a budget divided by this. Persistent callers need much of their budget at one router. */
@@ -59,6 +68,7 @@
                 returned = row.returned,
                 settled = row.settled,
                 demandPerSecond = row.demandPerSecond,
+                sustainedDemandPerSecond = row.sustainedDemandPerSecond,
                 wanted = wantedTokens(tablesWithDemand, organisation, row),
                 needed = row.shortfall,
             )
@@ -92,9 +102,7 @@
         seconds: Double,
     ): ForwardingTables {
         val row = tables.allowanceOf(organisation)
-        val weight = (NEWEST_WEIGHT_PER_SECOND * seconds).coerceAtMost(1.0)
-        val demand = row.demandPerSecond * (1 - weight) + row.reservedSinceReport / seconds * weight
-        val measuredRow = row.copy(demandPerSecond = demand, reservedSinceReport = 0)
+        val measuredRow = row.withMeasuredDemand(seconds)
         val keptTokens = (targetTokens(tables, organisation, measuredRow) * returnThreshold(tables)).toLong()
         val surplus = (measuredRow.available - keptTokens).coerceAtLeast(0)
         return tables.withAllowance(organisation, measuredRow.copy(returned = measuredRow.returned + surplus))
@@ -123,7 +131,8 @@
         val deviation = sqrt(mean * row.meanReservation)
         val demand = (mean + SAFETY_DEVIATIONS * deviation).toLong()
         val minimum = if (isListedForCallers(tables)) budget / MINIMUM_HELD_DIVISOR else 0
-        return if (isHoldingForbidden(row)) 0 else demand.coerceIn(minimum, budget / MAXIMUM_HELD_DIVISOR)
+        val maximum = minOf(budget / MAXIMUM_HELD_DIVISOR, row.advanceLimit)
+        return if (isHoldingForbidden(row)) 0 else maxOf(demand, minimum).coerceAtMost(maximum)
     }
 
     /** The leader lists this router, so callers are directed to it. */
@@ -131,8 +140,23 @@
         tables.fleet.routers.any { it.address == settings.entry.address }
 }
 
+private fun AllowanceRow.withMeasuredDemand(seconds: Double): AllowanceRow {
+    val newest = reservedSinceReport / seconds
+    val sustainedWeight = NEWEST_SUSTAINED_WEIGHT_PER_SECOND * seconds
+    return copy(
+        demandPerSecond = weightedMean(demandPerSecond, newest, NEWEST_WEIGHT_PER_SECOND * seconds),
+        sustainedDemandPerSecond = weightedMean(sustainedDemandPerSecond, newest, sustainedWeight),
+        reservedSinceReport = 0,
+    )
+}
+
+private fun weightedMean(earlier: Double, newest: Double, newestWeight: Double): Double {
+    val weight = newestWeight.coerceAtMost(1.0)
+    return earlier * (1 - weight) + newest * weight
+}
+
 private fun ForwardingTables.withRequestRate(seconds: Double): ForwardingTables {
-    val weight = (NEWEST_WEIGHT_PER_SECOND * seconds).coerceAtMost(1.0)
-    val rate = fleet.requestsPerSecond * (1 - weight) + fleet.requestsSinceReport / seconds * weight
+    val newest = fleet.requestsSinceReport / seconds
+    val rate = weightedMean(fleet.requestsPerSecond, newest, NEWEST_WEIGHT_PER_SECOND * seconds)
     return copy(fleet = fleet.copy(requestsPerSecond = rate, requestsSinceReport = 0))
 }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/LargeFleetPowerLossTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/LargeFleetPowerLossTest.kt
@@ -36,8 +36,8 @@
 
 class LargeFleetPowerLossTest : StringSpec({
     "a loss of power of a large fleet strands at most a third of what is left of each budget" {
-        // Guards against amounts held in advance that are bounded at each router but not over all routers: 95 routers
-        // that each held 1/250 of a budget held all that was left of it, and the loss of power took it from all callers.
+        // Guards against amounts held in advance that are bounded at each router but not over all routers. With 1/250
+        // of a budget each, 95 routers held all that was left of it, and the loss of power took it from all callers.
         repeat(SEED_COUNT) { seed ->
             val fleet = startFleet(seed)
             fleet.run(FAULT_MILLIS)
