Compute the sums over all sessions once for all reports of a tick

Cause: for each organisation of each report the leader summed over all sessions, three times, and indexed all routers again.

Change: the reports that are answered in one tick share these sums (ReportAnswers, AllowanceUpdates), so the work for each falls as more arrive. The unissued tokens are summed only for organisations that a report requests.

Result: answers are the same (a case of AdvanceLimitTest compares answers given together with those given one by one).

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ApplySystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ApplySystem.kt
@@ -68,15 +68,20 @@
             ?: return CoordinationStep(tables)
         val next = tables.copy(proposals = tables.proposals.remove(number))
         val isOwn = proposal.term == command.term
-        return CoordinationStep(
-            next,
-            proposal.exchanges.map { if (isOwn) confirmedAnswer(next, it) else unconfirmedAnswer(next, it) },
-        )
+        val reportAnswers = ReportAnswers(next, settings)
+        val answers = proposal.exchanges.map { exchange ->
+            if (isOwn) confirmedAnswer(next, exchange, reportAnswers) else unconfirmedAnswer(next, exchange)
+        }
+        return CoordinationStep(next, answers)
     }
 
-    private fun confirmedAnswer(tables: CoordinationTables, exchange: PendingExchange): CoordinationEffect =
+    private fun confirmedAnswer(
+        tables: CoordinationTables,
+        exchange: PendingExchange,
+        reportAnswers: ReportAnswers,
+    ): CoordinationEffect =
         when (exchange) {
-            is PendingReport -> AnswerReport(exchange.reply, reportAnswer(tables, exchange.report, settings))
+            is PendingReport -> AnswerReport(exchange.reply, reportAnswers.answer(exchange.report))
             is PendingPublication -> AnswerPublication(exchange.reply, Confirmed(tables.state.configuration))
         }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -14,21 +14,28 @@
     tables: CoordinationTables,
     report: RouterReport,
     settings: CoordinationSettings,
-): ReportAnswer {
-    val configuration = tables.state.configuration
-    val version = configuration?.version ?: 0
-    val isNewer = version > report.configurationVersion
-    return ReportAnswer(
-        isLeading = true,
-        leader = tables.replica,
-        replicas = tables.replicas(),
-        configurationVersion = version,
-        configuration = configuration?.takeIf { isNewer && !report.isFetchingConfigurations },
-        upstreams = tables.upstreams?.takeIf { it.revision > report.upstreamRevision },
-        routers = listedRouters(tables, settings),
-        allowances = AllowanceUpdates(tables, report, settings).updates(),
-        prompts = tables.quarantineUpdate(report),
-    )
+): ReportAnswer = ReportAnswers(tables, settings).answer(report)
+
+/** Answers reports of one tick on the same [tables]. */
+internal class ReportAnswers(private val tables: CoordinationTables, private val settings: CoordinationSettings) {
+    private val allowances by lazy { AllowanceUpdates(tables, settings) }
+
+    fun answer(report: RouterReport): ReportAnswer {
+        val configuration = tables.state.configuration
+        val version = configuration?.version ?: 0
+        val isNewer = version > report.configurationVersion
+        return ReportAnswer(
+            isLeading = true,
+            leader = tables.replica,
+            replicas = tables.replicas(),
+            configurationVersion = version,
+            configuration = configuration?.takeIf { isNewer && !report.isFetchingConfigurations },
+            upstreams = tables.upstreams?.takeIf { it.revision > report.upstreamRevision },
+            routers = listedRouters(tables, settings),
+            allowances = allowances.updatesFor(report),
+            prompts = tables.quarantineUpdate(report),
+        )
+    }
 }
 
 /** Null until router discovery is complete: an incomplete list would overload the routers on it. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -52,7 +52,8 @@
             else -> proposeCommand(tables, codec.writeCommand(MoveAllowances(plan.sessions, plan.moves)), exchanges)
         }
         val starts = plan.sessions.map { sessionNotice(tables.state, it) }
-        val answers = plan.immediate.map { AnswerReport(it.reply, reportAnswer(tables, it.report, settings)) }
+        val reportAnswers = ReportAnswers(tables, settings)
+        val answers = plan.immediate.map { AnswerReport(it.reply, reportAnswers.answer(it.report)) }
         return CoordinationStep(next, answers + starts)
     }
 
@@ -97,20 +98,24 @@
         val row = state.budgets[usage.organisation] ?: BudgetRow()
         val session = row.sessions[report.session] ?: SessionAllowance()
         val total = state.configuration?.budgets?.get(usage.organisation) ?: 0
-        val unissuedTokens = unissued(state, usage.organisation, row).coerceAtLeast(0)
-        val inAdvance = if (usage.wanted > usage.needed) {
-            val limit = spending.advanceTokens(row, usage.organisation, total, settings.advanceDivisor)
-            minOf(usage.wanted - usage.needed, limit)
-        } else {
-            0
-        }
-        val issued = (usage.needed + inAdvance).coerceIn(0, unissuedTokens)
+        val issued = if (usage.wanted > 0) issuedTokens(row, usage, total) else 0
         val isSpendingDue = usage.settled - session.settled > total / UNLOGGED_SPENDING_DIVISOR
         val isMoveNeeded = issued > 0 || usage.returned > session.returned || isSpendingDue
         val move = AllowanceMove(usage.organisation, report.session, issued, usage.returned, usage.settled)
         return move.takeIf { isMoveNeeded }
     }
 
+    private fun AllowancePlan.issuedTokens(row: BudgetRow, usage: AllowanceUsage, total: Long): Long {
+        val organisation = usage.organisation
+        val advance = if (usage.wanted > usage.needed) {
+            val limit = spending.advanceTokens(row, organisation, total, settings.advanceDivisor)
+            minOf(usage.wanted - usage.needed, limit)
+        } else {
+            0
+        }
+        return (usage.needed + advance).coerceIn(0, unissued(state, organisation, row).coerceAtLeast(0))
+    }
+
     /** Result of the reports of one tick; [state] already includes the planned moves. */
     private data class AllowancePlan(
         val state: CoordinationState,
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/AdvanceLimitTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/AdvanceLimitTest.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.SessionAllowance
+import org.ibismoor.coordination.internal.ReportAnswers
 import org.ibismoor.coordination.internal.ReportSystem
 import org.ibismoor.coordination.internal.reportAnswer
 import org.ibismoor.core.api.RouterId
@@ -60,6 +61,15 @@
         limits.last() shouldBe 0
     }
 
+    "reports that are answered together get the answers that they would get one by one" {
+        // Guards against sums of one tick that are used for another organisation or another state.
+        val reports = List(20) { reportWith(host(it), sustainedDemand = it.toDouble()) }
+        val row = BudgetRow(sessions = persistentHashMapOf(SessionId(host(3)) to SessionAllowance(5_000, 100, 900)))
+        val tables = leaderTables(budgetState(row, reports), reports, SETTINGS.routerDiscoveryMillis)
+        val answers = ReportAnswers(tables, SETTINGS)
+        reports.map(answers::answer) shouldBe reports.map { reportAnswer(tables, it, SETTINGS) }
+    }
+
     "the leader issues at most a quarter of what is unspent in advance, whatever routers request" {
         // Guards against a restart of all routers, when each of them asks before the leader knows the others.
         val reports = List(96) { reportWith(host(it), sustainedDemand = 1.0, wanted = BUDGET) }
