Log and count each connection of a caller that ends without a whole answer

Symptom: a caller whose connection ends in the middle of an answer, or before it, leaves no line that says so. A cut answer looks like a refusal, and an exception that closes a connection looks like a caller that left.

Change: event=answer_cut with cause, request, upstream, events, age and configuration version, and the counter ibismoor_cut_answers by cause. A refusal also names the bound of the request (deadline or route timeout) and the events that were out. Requests still open when a process stops are recorded too.

No decision changes.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -44,6 +44,9 @@
         "control_age_ms" to tables.fleet.leaderAnsweredAt?.let { now - it },
         "allowance_age_ms" to allowance.updatedAt?.let { now - it },
         "took_ms" to now - request.arrivedAt,
+        "limit_ms" to request.dueAt - request.arrivedAt,
+        "limit" to limitText(request),
+        "events" to request.deliveredEvents,
     )
     val tokens = if (reason in TOKEN_REASONS) tokenFacts(request, allowance) else emptyList()
     val retryAfter = retryAfterMillis?.takeIf { outcome == Outcome.NOT_RUN }
@@ -53,6 +56,12 @@
     )
 }
 
+/** Which of the two bounds ends the request first: its caller's deadline or the timeout of its route. */
+private fun limitText(request: RequestRow): String {
+    val isRouteFirst = request.dueAt - request.arrivedAt >= request.route.timeoutMillis
+    return if (isRouteFirst) "route_timeout" else "deadline"
+}
+
 /** The amounts that decide on a refusal for want of tokens. The last two are the leader's, as of its last answer. */
 private fun tokenFacts(request: RequestRow, allowance: AllowanceRow): List<Fact> =
     listOf(
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
@@ -26,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.gateway.internal.net.AnswerEncoder
+import java.io.IOException
 
 /** Pipelined objects that are queued before reading from the connection stops. */
 private const val MAXIMUM_PIPELINED_OBJECTS = 32
@@ -40,6 +41,9 @@
     private var isKeepAlive = true
     private var isClosing = false
 
+    /** The exception that closed the connection. */
+    private var failure: Throwable? = null
+
     /** Start of the last request or end of the last answer, from [System.nanoTime]. */
     private var lastActivityAt = System.nanoTime()
 
@@ -50,11 +54,13 @@
     override fun channelActive(ctx: ChannelHandlerContext) = environment.registerConnection(this)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        requestReader?.let { environment.cuts.record(CutAnswer(CutCause.REQUEST_INCOMPLETE, callId = it.callId)) }
+        requestReader = null
         isClosing = true
         pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
         environment.unregisterConnection(this)
-        exchange?.handleCallerDisconnect()
+        exchange?.handleCallerDisconnect(failure?.let(::cutCauseOf) ?: CutCause.CALLER_CLOSED, failure?.let(::nameOf))
         exchange = null
     }
 
@@ -141,7 +147,7 @@
         )
         if (!encoder.isHeadRequest) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         markConnectionClose(headers)
-        context.writeAndFlush(response)
+        writeLast(response)
         finishExchange()
     }
 
@@ -166,10 +172,17 @@
     }
 
     override fun endAnswer() {
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        writeLast(LastHttpContent.EMPTY_LAST_CONTENT)
         finishExchange()
     }
 
+    private fun writeLast(message: HttpObject) {
+        val ending = exchange
+        context.writeAndFlush(message).addListener { write ->
+            write.cause()?.let { ending?.recordCut(CutCause.WRITE_FAILED, nameOf(it)) }
+        }
+    }
+
     override fun abort() {
         isClosing = true
         exchange = null
@@ -200,6 +213,7 @@
 
     @Deprecated("Deprecated in Java")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        failure = cause
         ctx.close()
     }
 
@@ -210,3 +224,8 @@
         const val REQUEST_TIMEOUT_FACTOR = 2
     }
 }
+
+private fun cutCauseOf(failure: Throwable): CutCause =
+    if (failure is IOException) CutCause.CALLER_RESET else CutCause.INTERNAL_ERROR
+
+private fun nameOf(failure: Throwable): String = failure.javaClass.simpleName
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
@@ -10,6 +10,7 @@
     val limits: CallerLimits
     val dialect: HttpDialect
     val isDraining: Boolean
+    val cuts: CutAnswerRecorder
 
     fun registerConnection(connection: CallerConnection)
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
+import org.ibismoor.core.api.UpstreamId
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptEnded
@@ -43,6 +44,7 @@
     private var isScanning = false
     private val startedAt = System.nanoTime()
     private var isEnded = false
+    private var lastUpstream: UpstreamId? = null
 
     /** True once the head of a chunked answer was written. */
     var isAnswerStarted: Boolean = false
@@ -69,12 +71,14 @@
         if (isEnded) return
         if (isScanning) scanner.dropPartialEvent()
         val lastEventId = if (isScanning) scanner.lastEventId else request.fields.lastEventId
+        lastUpstream = effect.upstream.id
         attempt = Attempt(this, effect, environment).also { it.start(lastEventId.takeIf { isAnswerStarted }) }
     }
 
     fun refuse(effect: RefuseRequest) {
         if (isEnded) return
         if (isAnswerStarted) {
+            recordCut(CutCause.REFUSED_AFTER_START, effect.reason.code)
             output.abort()
         } else {
             val status = statusOf(effect.reason, effect.outcome)
@@ -92,17 +96,30 @@
     fun forwardFailure() {
         val heldFailure = failedAnswer
         if (isEnded) return
-        if (heldFailure == null || isAnswerStarted) output.abort() else sendAnswer(heldFailure)
+        if (heldFailure == null || isAnswerStarted) {
+            recordCut(CutCause.FAILED_AFTER_START)
+            output.abort()
+        } else {
+            sendAnswer(heldFailure)
+        }
         close()
     }
 
-    fun handleCallerDisconnect() {
+    fun handleCallerDisconnect(cause: CutCause, detail: String? = null) {
         if (isEnded) return
+        recordCut(cause, detail)
         val delivered = eventCount
         close()
         environment.post(CallerDisconnected(number, delivered))
     }
 
+    /** Records that the caller's connection ends, or has ended, without the whole answer. */
+    fun recordCut(cause: CutCause, detail: String? = null) {
+        val ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)
+        val events = eventCount
+        environment.cuts.record(CutAnswer(cause, detail, request.fields.callId, lastUpstream, events, ageMillis))
+    }
+
     /** Resumes reading from the upstream once the caller's connection is writable again. */
     fun resumeReading() {
         attempt?.pauseReading(false)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ExchangeEnvironment.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ExchangeEnvironment.kt
@@ -15,6 +15,7 @@
     val pool: ClientPool
     val eventLoop: EventLoop
     val meters: RouterMeters
+    val cuts: CutAnswerRecorder
 
     /** Queues [message] for the control thread. */
     fun post(message: ForwardingMessage)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestReader.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestReader.kt
@@ -19,6 +19,9 @@
     private val hosts = head.headers().getAll(HttpHeaderNames.HOST)
     private val body = ByteArrayOutputStream()
 
+    /** The caller's identifier of the request; null without one. */
+    val callId: String? get() = fields?.callId
+
     var problem: RequestProblem? = findProblem()
         private set
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -46,6 +46,10 @@
     fun countMalformedPause() =
         Counter.builder("ibismoor_upstream_pauses_malformed").register(registry).increment()
 
+    fun countCut(cause: CutCause) {
+        Counter.builder("ibismoor_cut_answers").tag("cause", cause.text).register(registry).increment()
+    }
+
     fun countLostNotice() = Counter.builder("ibismoor_use_notices_lost").register(registry).increment()
 
     fun recordDuration(nanos: Long) = durations.record(Duration.ofNanos(nanos))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -37,6 +37,7 @@
     override val pool: ClientPool,
     override val dialect: HttpDialect,
     override val meters: RouterMeters,
+    override val cuts: CutAnswerRecorder,
     private val postMessage: (ForwardingMessage) -> Unit,
 ) : ExchangeEnvironment, ConnectionEnvironment {
     override val allocator: ByteBufAllocator = UnpooledByteBufAllocator.DEFAULT
@@ -80,6 +81,11 @@
         connections.toList().forEach { it.closeIfIdle() }
     }
 
+    /** Records the requests that the end of the process cuts off. */
+    fun recordOpenExchanges() {
+        exchanges.values.forEach { it.recordCut(CutCause.PROCESS_STOPPED) }
+    }
+
     private fun closeExpiredConnections() {
         pool.closeExpired()
         val now = System.nanoTime()
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -54,6 +54,7 @@
 
 private const val REPORT_TIMEOUT_MILLIS = 600L
 private const val DRAIN_POLL_MILLIS = 50L
+private const val CUT_RECORD_MILLIS = 100L
 private const val FAILURE_EXIT_CODE = 70
 private const val STATUS_NOT_FOUND = 404
 
@@ -72,7 +73,7 @@
         ::perform,
     )
     private val meters = RouterMeters({ loop.tables }, { log.droppedLines })
-    private val traffic = RouterTraffic(group, pool, formats.dialect, meters, loop::post)
+    private val traffic = RouterTraffic(group, pool, formats.dialect, meters, ::recordCut, loop::post)
     private val loans = Loans(client, settings.routerPort, loop::post)
     private val notices = LoadNotices(client, settings.routerPort, meters, loop::post)
     private val contacts =
@@ -168,10 +169,25 @@
             val isOver = clock.now() - startedAt >= settings.forwarding.times.maximumDrainMillis
             isOver || loop.tables.requests.isEmpty() && traffic.isIdle
         }
+        group.submit { traffic.recordOpenExchanges() }.await(CUT_RECORD_MILLIS)
         log.write("stopped", "after_ms" to clock.now() - startedAt, "open_requests" to loop.tables.requests.size)
         log.close()
     }
 
+    private fun recordCut(cut: CutAnswer) {
+        meters.countCut(cut.cause)
+        log.write(
+            "answer_cut",
+            "id" to cut.callId,
+            "cause" to cut.cause.text,
+            "detail" to cut.detail,
+            "upstream" to cut.upstream,
+            "events" to cut.events,
+            "age_ms" to cut.ageMillis,
+            "version" to (loop.tables.configuration?.version ?: 0),
+        )
+    }
+
     private inline fun waitUntil(condition: () -> Boolean) {
         while (!condition()) TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS)
     }
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/LateAttemptTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/LateAttemptTest.kt
@@ -21,6 +21,8 @@
 import org.ibismoor.gateway.internal.net.ClientPool
 import org.ibismoor.gateway.internal.net.createTrafficThread
 import org.ibismoor.gateway.internal.router.AnswerSink
+import org.ibismoor.gateway.internal.router.CutAnswerRecorder
+import org.ibismoor.gateway.internal.router.CutCause
 import org.ibismoor.gateway.internal.router.Exchange
 import org.ibismoor.gateway.internal.router.ExchangeEnvironment
 import org.ibismoor.gateway.internal.router.ReceivedRequest
@@ -43,7 +45,7 @@
             val exchange = environment.exchange()
             TimeUnit.MILLISECONDS.sleep(STALL_MILLIS)
             environment.run {
-                environment.eventLoop.execute(exchange::handleCallerDisconnect)
+                environment.eventLoop.execute { exchange.handleCallerDisconnect(CutCause.CALLER_CLOSED) }
                 exchange.send(attemptAt(upstream))
             }
             TimeUnit.MILLISECONDS.sleep(SETTLED_MILLIS)
@@ -80,6 +82,7 @@
     override val pool = ClientPool(group, null)
     override val eventLoop: EventLoop = group.next() as EventLoop
     override val meters = RouterMeters({ error("tables are not read") }, { 0L })
+    override val cuts = CutAnswerRecorder { }
 
     @Volatile
     var messages = emptyList<ForwardingMessage>()
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
@@ -77,6 +77,8 @@
     /** Requests that the upstreams received. */
     val receivedRequests: List<RawRequest> get() = upstreams.flatMap { it.requests }
 
+    val metrics: String get() = process.metrics()
+
     fun connect(): Socket = Socket("127.0.0.1", port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
 
     /** Sends [text] on a new connection and reads until the router closes it. */
