Keep a silent attempt until another upstream has the request

Cause: the router cancelled a silent attempt first and then decided whether there was another upstream, an attempt, a retry and time for the request. If there was none, or if the second upstream refused or failed, the answer ended. The class of fault: giving up what works before its replacement does.

Change: silence is reported (AttemptSilent) and ends nothing. If the request may be retried it is also sent to another upstream. The first of the two that goes on has the request; if the second one refuses, fails or breaks off, the silent one stays. Both have it for 300 ms at most. Without another upstream the silent one is awaited until the deadline.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -13,12 +13,16 @@
 
 sealed interface ForwardingEffect
 
-/** Send the request to [upstream] as attempt number [attempt], after cancelling an earlier attempt. */
+/**
+ * Send the request to [upstream] as attempt number [attempt]. With [silence], the number of an [AttemptSilent], it is
+ * sent only if the earlier attempt is still silent, which goes on until either of the two has an answer.
+ */
 data class SendAttempt(
     val number: RequestNumber,
     val attempt: Int,
     val upstream: UpstreamEntry,
     val terms: AttemptTerms,
+    val silence: Int? = null,
 ) : ForwardingEffect
 
 /** Metadata that an upstream receives with a request, and the timeouts of the attempt in milliseconds. */
@@ -27,9 +31,9 @@
     val priority: Int,
     val remainingMillis: Long,
     val isStream: Boolean,
-    /** Timeout of the answer or of the first event of a stream; null waits until the deadline. */
+    /** Time without an answer or first event after which the attempt is reported as silent; null if it never is. */
     val firstAnswerTimeoutMillis: Long?,
-    /** Timeout between two events of a stream; null waits until the deadline. */
+    /** The same between two events of a stream. */
     val stallTimeoutMillis: Long?,
     val maximumConnections: Int,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -26,6 +26,16 @@
 /** Attempt number [attempt] has ended. */
 data class AttemptEnded(val number: RequestNumber, val attempt: Int, val result: AttemptResult) : ForwardingMessage
 
+/**
+ * The upstream of attempt number [attempt] has sent nothing for longer than the terms of the attempt expect. The
+ * attempt goes on. [silence] counts such reports of the request. [isResumable] if another upstream can take it over.
+ */
+data class AttemptSilent(val number: RequestNumber, val attempt: Int, val silence: Int, val isResumable: Boolean) :
+    ForwardingMessage
+
+/** The silent attempt number [attempt] goes on, and one that was to take its place has been cancelled. */
+data class AttemptResumed(val number: RequestNumber, val attempt: Int) : ForwardingMessage
+
 /**
  * A control process answered a report. [configuration] is parsed from the document in [answer]; only a leader of an
  * earlier release sends one.
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -67,10 +67,10 @@
     val maximumPauseMillis: Long = MAXIMUM_PAUSE_MILLIS,
     /** Time after a pause in which the requests in flight at the upstream may rise from one to its slots. */
     val resumptionMillis: Long = RESUMPTION_MILLIS,
-    /** A retryable stream without an event for this long moves to another upstream. */
+    /** A retryable stream without an event for this long is also sent to another upstream. */
     val stallTimeoutMillis: Long = STALL_TIMEOUT_MILLIS,
     /** The same before the first event. */
     val firstEventTimeoutMillis: Long = FIRST_EVENT_TIMEOUT_MILLIS,
-    /** A retryable request without an answer for this long moves to another upstream. */
+    /** A retryable request without an answer for this long is also sent to another upstream. */
     val answerTimeoutMillis: Long = ANSWER_TIMEOUT_MILLIS,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -21,6 +21,8 @@
     /** Deadline after which the request is refused. */
     val dueAt: Timestamp,
     val phase: RequestPhase,
+    /** An earlier attempt that goes on although it is silent; null if there is none. */
+    val silent: SilentAttempt? = null,
     /** Tokens of the allowance that are reserved for the request. */
     val reserved: Long = 0,
     /** Upstreams that have received the request, in order. */
@@ -54,4 +56,9 @@
     val sentAt: Timestamp,
     /** Uncached prompt tokens that the upstream has to process before the first event. */
     val pendingPromptTokens: Long,
+    /** The upstream has been silent for too long during this attempt. */
+    val wasSilent: Boolean = false,
 ) : RequestPhase
+
+/** An attempt that was reported as silent for the time number [silence]. */
+data class SilentAttempt(val phase: AwaitingAnswer, val silence: Int)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -23,19 +23,12 @@
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
-import org.ibismoor.forwarding.api.NotExecuted
 import org.ibismoor.forwarding.api.NotSent
 import org.ibismoor.forwarding.api.RequestRow
 
 /** From this status on the failure is the upstream's, and another upstream may succeed. */
 private const val FIRST_SERVER_ERROR = 500
 
-/** Limit of attempts of which no byte was sent, for each request. */
-private const val MAXIMUM_UNSENT_ATTEMPTS = 4
-
-/** A request with less time left than this is not retried. */
-private const val MINIMUM_RETRY_MILLIS = 40L
-
 @Suppress("TooManyFunctions") // one function for each result of an attempt
 internal class AttemptSystem(private val settings: ForwardingSettings) : ForwardingSystem {
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep =
@@ -76,6 +69,8 @@
         val request = tables.requests[message.number] ?: return ForwardingStep(tables)
         val phase = request.phase as? AwaitingAnswer
         return when {
+            request.silent?.phase?.attempt == message.attempt ->
+                endSilentAttempt(tables, request, message.result, now)
             phase == null || phase.attempt != message.attempt -> ForwardingStep(tables)
             else -> applyResult(tables, request, phase, message.result, now)
         }
@@ -89,21 +84,14 @@
         now: Timestamp,
     ): ForwardingStep {
         val healthStep = tables.recordResult(phase, result, now, settings.times)
-        val failureDecision = logDecision(
-            DecisionKind.ATTEMPT_FAILED,
-            request.head.callId,
-            "upstream" to phase.upstream,
-            "attempt" to phase.attempt,
-            "after_ms" to now - phase.sentAt,
-            "result" to resultText(result),
-        )
-        return when (result) {
-            is Delivered -> completeRequest(healthStep.tables, request, result, now)
-            is AnsweredFailure -> handleFailureAnswer(healthStep.tables, request, phase, result, now)
-            is NotExecuted, is NotSent -> retryOrRefuse(healthStep.tables, request, result, now)
-            is AnswerLost -> handleLostAnswer(healthStep.tables, request, result, now)
+        return when {
+            result is Delivered -> completeRequest(healthStep.tables, request, result, now)
+            request.silent != null -> ForwardingStep(healthStep.tables.withSilentOnly(request.afterResult(result)))
+            result is AnsweredFailure -> handleFailureAnswer(healthStep.tables, request, phase, result, now)
+            result is AnswerLost -> handleLostAnswer(healthStep.tables, request, result, now)
+            else -> retryOrRefuse(healthStep.tables, request, result, now)
         }.let { step ->
-            val failureDecisions = listOf(failureDecision).filter { result !is Delivered }
+            val failureDecisions = listOf(attemptFailure(request, phase, result, now)).filter { result !is Delivered }
             ForwardingStep(step.tables, healthStep.effects + failureDecisions + step.effects)
         }
     }
@@ -138,7 +126,8 @@
     ): ForwardingStep {
         val executedRequest = request.copy(mayHaveRun = true)
         val isServerError = result.status >= FIRST_SERVER_ERROR
-        val shouldRetry = isServerError && request.route.kind.isRetryable && canRetry(tables, executedRequest, now)
+        val isRetryable = isServerError && request.route.kind.isRetryable
+        val shouldRetry = isRetryable && tables.canRetry(executedRequest, now, settings)
         val decision = logDecision(
             DecisionKind.REQUEST_ENDED,
             request.head.callId,
@@ -167,7 +156,7 @@
         val candidate = if (isUnsent) request.withoutUnsentAttempt() else request
         val reason = if (isUnsent) RefusalReason.NO_UPSTREAM else RefusalReason.QUEUE_FULL
         return when {
-            canRetry(tables, candidate, now) -> retryRequest(tables, candidate, now)
+            tables.canRetry(candidate, now, settings) -> retryRequest(tables, candidate, now)
             candidate.mayHaveRun -> refuse(tables, candidate, RefusalReason.UPSTREAM_FAILED, now)
             else -> refuse(tables, candidate, reason, now)
         }
@@ -188,17 +177,11 @@
             if (executedRequest.isAnswerStarted) result.isResumable else !tables.prompts.hasSuspectPart(request)
         val canContinue = request.route.kind.isRetryable && isContinuable
         return when {
-            canContinue && canRetry(tables, executedRequest, now) -> retryRequest(tables, executedRequest, now)
+            canContinue && tables.canRetry(executedRequest, now, settings) -> retryRequest(tables, executedRequest, now)
             else -> refuse(tables, executedRequest, RefusalReason.INCOMPLETE_ANSWER, now)
         }
     }
 
-    private fun canRetry(tables: ForwardingTables, request: RequestRow, now: Timestamp): Boolean =
-        request.triedUpstreams.size < request.route.maximumAttempts &&
-            request.unsentAttempts < MAXIMUM_UNSENT_ATTEMPTS &&
-            request.dueAt - now >= MINIMUM_RETRY_MILLIS &&
-            (request.triedUpstreams.isEmpty() || tables.hasRetryBudget(request.group, settings))
-
     private fun retryRequest(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
         val next = tables.withoutInFlight(request)
         val retries =
@@ -223,10 +206,6 @@
     ): ForwardingStep = refuseRequest(tables, request, reason, settings.times.retryAfterMillis, now)
 }
 
-/** An upstream that has received no byte does not count towards the route's limit of attempts. */
-private fun RequestRow.withoutUnsentAttempt(): RequestRow =
-    copy(triedUpstreams = triedUpstreams.removeAt(triedUpstreams.lastIndex), unsentAttempts = unsentAttempts + 1)
-
 private fun cancelRequest(tables: ForwardingTables, message: CallerDisconnected): ForwardingStep {
     val request = tables.requests[message.number] ?: return ForwardingStep(tables)
     val cost = tables.costOf(request.copy(mayHaveRun = request.phase is AwaitingAnswer), message.deliveredEvents)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -24,6 +24,7 @@
             LoanSystem(settings),
             CrashEvidenceSystem(settings),
             AvailabilitySystem(settings),
+            SilentAttemptSystem(settings),
             AttemptSystem(settings),
             AllowanceSystem(settings),
             QuarantineSystem(settings),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptResult
+import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.Fact
@@ -22,7 +23,10 @@
 
 private val TOKEN_REASONS = setOf(RefusalReason.SHARE_EXHAUSTED, RefusalReason.BUDGET_EXHAUSTED)
 
-/** Refuses [request]. The refusal has a retry time only if the request has not run. */
+/**
+ * Refuses [request]. The refusal has a retry time only if the request has not run. A request that was to be sent to a
+ * second upstream since the first one is silent goes on with the first one instead.
+ */
 internal fun refuseRequest(
     tables: ForwardingTables,
     request: RequestRow,
@@ -30,7 +34,10 @@
     retryAfterMillis: Long?,
     now: Timestamp,
 ): ForwardingStep {
-    val outcome = if (request.mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
+    val isSilentOnly = request.silent != null && request.phase !is AwaitingAnswer
+    if (isSilentOnly) return ForwardingStep(tables.withSilentOnly(request))
+    val mayHaveRun = request.mayHaveRun || request.silent != null
+    val outcome = if (mayHaveRun) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
     val allowance = tables.allowanceOf(request.organisation)
     val decision = logDecision(
         DecisionKind.REQUEST_REFUSED,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.ForwardingTables
+import org.ibismoor.forwarding.api.RequestPhase
 import org.ibismoor.forwarding.api.RequestRow
 import org.ibismoor.forwarding.api.UpstreamRow
 
@@ -23,9 +24,12 @@
         waiting = waiting.remove(request.number),
     )
 
-/** Removes [request] from the counts of the upstream that it was sent to. */
-internal fun ForwardingTables.withoutInFlight(request: RequestRow): ForwardingTables {
-    val phase = request.phase as? AwaitingAnswer ?: return this
+/** Removes [request] from the counts of the upstreams that have it. */
+internal fun ForwardingTables.withoutInFlight(request: RequestRow): ForwardingTables =
+    withoutInFlight(request.phase).withoutInFlight(request.silent?.phase)
+
+internal fun ForwardingTables.withoutInFlight(phase: RequestPhase?): ForwardingTables {
+    if (phase !is AwaitingAnswer) return this
     return withUpdatedUpstream(phase) { row ->
         row.copy(
             inFlight = (row.inFlight - 1).coerceAtLeast(0),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -74,6 +74,7 @@
         val row = selection.choose(candidates, request, now, tables.random)
         val uncached = uncachedTokens(row, request)
         val attempt = request.attempts + 1
+        val silence = request.silent?.silence
         val sentRequest = request.copy(
             phase = AwaitingAnswer(row.entry.id, attempt, now, uncached),
             attempts = attempt,
@@ -84,6 +85,7 @@
             requests = tables.requests.put(request.number, sentRequest),
             waiting = tables.waiting.remove(request.number),
             upstreams = tables.upstreams.put(row.entry.id, row.withRequest(request, uncached, now)),
+            retries = if (silence == null) tables.retries else tables.retries.withRetryCounted(request.group, now),
         ).withLoadNoticeDue(uncached, now, settings)
         val decision = logDecision(
             DecisionKind.REQUEST_SENT,
@@ -101,7 +103,10 @@
         )
         return ForwardingStep(
             next,
-            listOf(SendAttempt(request.number, attempt, row.entry, attemptTerms(tables, request, now)), decision),
+            listOf(
+                SendAttempt(request.number, attempt, row.entry, attemptTerms(tables, request, now), silence),
+                decision,
+            ),
         )
     }
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -1,6 +1,6 @@
 /**
- * One attempt at an upstream. It recognises its answer by the echoed request identifier and is cancelled if the
- * upstream sends nothing within the timeouts of the attempt's terms.
+ * One attempt at an upstream. It recognises its answer by the echoed request identifier. If the upstream sends nothing
+ * within the times of the attempt's terms it is reported as silent; that does not end the attempt.
  */
 package org.ibismoor.gateway.internal.router
 
@@ -55,7 +55,13 @@
 
     /** When the last part of the answer was received. In a stream, only whole events count. */
     private var lastReceivedAt = System.nanoTime()
-    private var timeoutCheck: ScheduledFuture<*>? = null
+    private var silenceCheck: ScheduledFuture<*>? = null
+
+    val number: Int get() = effect.attempt
+
+    /** True from a report of its silence until the upstream goes on. */
+    var isSilent: Boolean = false
+        private set
 
     /** How the body is forwarded: buffered as a whole, event by event, or in chunks as it arrives. */
     private enum class Mode { BUFFERED, EVENTS, CHUNKS }
@@ -67,7 +73,7 @@
         if (lastEventId != null) environment.dialect.requestEventsAfter(lastEventId, headers)
         if (request.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) headers.set(HttpHeaderNames.CONTENT_LENGTH, 0)
         val attemptCall = HttpCall(effect.upstream.address, request.method, request.uri, headers, request.body)
-        startTimeout(effect.terms.firstAnswerTimeoutMillis)
+        watchSilence(effect.terms.firstAnswerTimeoutMillis)
         call = environment.pool.send(attemptCall, this)
         if (isEnded) call?.cancel()
     }
@@ -76,7 +82,7 @@
     fun cancel() {
         if (isEnded) return
         isEnded = true
-        timeoutCheck?.cancel(false)
+        silenceCheck?.cancel(false)
         call?.cancel()
     }
 
@@ -84,25 +90,41 @@
         call?.pauseReading(isPaused)
     }
 
-    private fun startTimeout(newTimeoutMillis: Long?) {
-        timeoutCheck?.cancel(false)
-        val timeoutMillis = newTimeoutMillis ?: return
+    /** Watches for [newLimitMillis] without an answer or event; null ends the watch. */
+    private fun watchSilence(newLimitMillis: Long?) {
+        silenceCheck?.cancel(false)
+        val limitMillis = newLimitMillis ?: return
         lastReceivedAt = System.nanoTime()
-        timeoutCheck = eventLoop.schedule({ checkTimeout(timeoutMillis) }, timeoutMillis, TimeUnit.MILLISECONDS)
+        scheduleSilenceCheck(limitMillis, limitMillis)
     }
 
-    private fun checkTimeout(timeoutMillis: Long) {
+    private fun scheduleSilenceCheck(delayMillis: Long, limitMillis: Long) {
+        silenceCheck = eventLoop.schedule({ checkSilence(limitMillis) }, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun checkSilence(limitMillis: Long) {
         if (isEnded) return
         val idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReceivedAt)
-        if (idleMillis >= timeoutMillis) {
-            call?.cancel()
-            finish(exchange.lostAnswer("silent"), isDelivered = false)
+        if (idleMillis >= limitMillis) {
+            isSilent = true
+            exchange.reportSilence(this)
+            scheduleSilenceCheck(limitMillis, limitMillis)
         } else {
-            val remainingMillis = timeoutMillis - idleMillis
-            timeoutCheck = eventLoop.schedule({ checkTimeout(timeoutMillis) }, remainingMillis, TimeUnit.MILLISECONDS)
+            scheduleSilenceCheck(limitMillis - idleMillis, limitMillis)
         }
     }
 
+    /** The upstream has sent a part of its answer. */
+    private fun markReceived() {
+        lastReceivedAt = System.nanoTime()
+        isSilent = false
+    }
+
+    /** The upstream goes on, if only with a part of an event. */
+    fun endSilence() {
+        isSilent = false
+    }
+
     override fun onHead(head: HttpResponse): Boolean {
         val fields = environment.dialect.readAnswerFields(head.status().code(), head.headers())
         val isIdentified = fields.callId == exchange.request.fields.callId
@@ -136,7 +158,8 @@
     override fun onBody(part: ByteBuf) {
         val current = answer
         if (isEnded || current == null) return
-        if (mode != Mode.EVENTS) lastReceivedAt = System.nanoTime()
+        if (isSilent || mode == Mode.EVENTS) exchange.choose(this)
+        if (mode != Mode.EVENTS) markReceived()
         when (mode) {
             Mode.EVENTS -> forwardEvents(current, part)
             Mode.CHUNKS -> forward(part.retain())
@@ -155,13 +178,13 @@
     }
 
     private fun forwardWholeEvents(current: BufferedAnswer, events: ByteBuf) {
-        lastReceivedAt = System.nanoTime()
+        markReceived()
         val isFirst = !hasForwarded
         exchange.startAnswer(current)
         forward(events)
         if (isFirst) {
             exchange.reportFirstEvent(effect.attempt, current.fields.load)
-            startTimeout(effect.terms.stallTimeoutMillis)
+            watchSilence(effect.terms.stallTimeoutMillis)
         }
     }
 
@@ -172,6 +195,7 @@
         if (current.fields.isNotExecuted) return endRefused(current)
         if (!isDeliverable(current) || exchange.isAnswerStarted) return fail("answer_too_large")
         mode = Mode.CHUNKS
+        exchange.choose(this)
         exchange.startAnswer(current)
         forward(Unpooled.wrappedBuffer(current.toByteArray()))
     }
@@ -199,6 +223,7 @@
             mode == Mode.BUFFERED -> finishBuffered(current)
             exchange.isInsideEvent -> fail("cut_event")
             else -> {
+                exchange.choose(this)
                 exchange.startAnswer(current)
                 exchange.endAnswer()
                 finish(Delivered(exchange.eventCount, current.fields.load), isDelivered = true)
@@ -213,6 +238,7 @@
                 finish(NotExecuted(status, current.fields.isOtherUpstream, current.fields.load), isDelivered = false)
             !current.isDelimited && hasStatusLine(current.text()) -> fail(SECOND_ANSWER)
             isDeliverable(current) && !exchange.isAnswerStarted -> {
+                exchange.choose(this)
                 exchange.sendAnswer(current)
                 finish(Delivered(0, current.fields.load), isDelivered = true)
             }
@@ -246,8 +272,8 @@
     private fun finish(result: AttemptResult, isDelivered: Boolean) {
         if (isEnded) return
         isEnded = true
-        timeoutCheck?.cancel(false)
+        silenceCheck?.cancel(false)
         call?.markEnded()
-        exchange.endAttempt(effect.attempt, result, isDelivered)
+        exchange.endAttempt(this, result, isDelivered)
     }
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -13,6 +13,8 @@
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptEnded
 import org.ibismoor.forwarding.api.AttemptResult
+import org.ibismoor.forwarding.api.AttemptResumed
+import org.ibismoor.forwarding.api.AttemptSilent
 import org.ibismoor.forwarding.api.CallerDisconnected
 import org.ibismoor.forwarding.api.FirstEventArrived
 import org.ibismoor.forwarding.api.RefuseRequest
@@ -28,6 +30,9 @@
 /** Age of a request from which callers may have left before its attempt starts. */
 private const val LATE_ATTEMPT_MILLIS = 100L
 
+/** Shorter than the time for which two upstreams may work on one request that one has taken over from the other. */
+private const val SILENT_OVERLAP_MILLIS = 300L
+
 /** A scheduled task runs after the event loop has read what has arrived before it was due. */
 private const val READ_PASS_MILLIS = 1L
 
@@ -39,6 +44,12 @@
     private val environment: ExchangeEnvironment,
 ) {
     private var attempt: Attempt? = null
+
+    /** A silent attempt that goes on beside [attempt], until either of them has an answer. */
+    private var silentAttempt: Attempt? = null
+
+    /** Reports of silent attempts so far. */
+    private var silences = 0
     private var failedAnswer: BufferedAnswer? = null
     private val scanner by lazy { EventScanner(environment.allocator, request.fields.lastEventId) }
     private var isScanning = false
@@ -58,7 +69,6 @@
      */
     fun send(effect: SendAttempt) {
         if (isEnded) return
-        attempt?.cancel()
         val ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)
         if (ageMillis < LATE_ATTEMPT_MILLIS) {
             startAttempt(effect)
@@ -68,13 +78,58 @@
     }
 
     private fun startAttempt(effect: SendAttempt) {
-        if (isEnded) return
-        if (isScanning) scanner.dropPartialEvent()
+        val current = attempt
+        if (isEnded || current != null && !isStillSilent(current, effect)) return
+        if (current == null) dropPartialEvent() else keepSilent(current)
         val lastEventId = if (isScanning) scanner.lastEventId else request.fields.lastEventId
         lastUpstream = effect.upstream.id
         attempt = Attempt(this, effect, environment).also { it.start(lastEventId.takeIf { isAnswerStarted }) }
     }
 
+    /** False if [current] has gone on since the silence for which the control thread has decided on [effect]. */
+    private fun isStillSilent(current: Attempt, effect: SendAttempt): Boolean =
+        current.isSilent && effect.silence == silences
+
+    /** Two upstreams work on the request only for a short time; one that refuses it does so at once. */
+    private fun keepSilent(silent: Attempt) {
+        silentAttempt = silent
+        environment.eventLoop.schedule({ endSilent(silent) }, SILENT_OVERLAP_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun endSilent(silent: Attempt) {
+        if (silentAttempt !== silent) return
+        silentAttempt = null
+        silent.cancel()
+        dropPartialEvent()
+        environment.post(AttemptEnded(number, silent.number, lostAnswer("silent")))
+    }
+
+    private fun dropPartialEvent() {
+        if (isScanning) scanner.dropPartialEvent()
+    }
+
+    /** Reports that [silent] has received nothing for too long. */
+    internal fun reportSilence(silent: Attempt) {
+        if (silent !== attempt || silentAttempt != null) return
+        silences++
+        val isResumable = !isAnswerStarted || hasEventId
+        environment.post(AttemptSilent(number, silent.number, silences, isResumable))
+    }
+
+    /** The answer comes from [chosen]; the other attempt, if there is one, ends. */
+    internal fun choose(chosen: Attempt) {
+        val silent = silentAttempt
+        if (chosen === attempt && silent != null) endSilent(silent)
+        if (!chosen.isSilent) return
+        chosen.endSilence()
+        if (chosen === silent) {
+            attempt?.cancel()
+            attempt = chosen
+            silentAttempt = null
+        }
+        environment.post(AttemptResumed(number, chosen.number))
+    }
+
     fun refuse(effect: RefuseRequest) {
         if (isEnded) return
         if (isAnswerStarted) {
@@ -123,6 +178,7 @@
     /** Resumes reading from the upstream once the caller's connection is writable again. */
     fun resumeReading() {
         attempt?.pauseReading(false)
+        silentAttempt?.pauseReading(false)
     }
 
     /** Cancels the current attempt and releases the buffers. */
@@ -130,7 +186,9 @@
         if (isEnded) return
         isEnded = true
         attempt?.cancel()
+        silentAttempt?.cancel()
         attempt = null
+        silentAttempt = null
         failedAnswer = null
         if (isScanning) scanner.release()
         environment.meters.recordDuration(System.nanoTime() - startedAt)
@@ -186,11 +244,12 @@
         environment.post(FirstEventArrived(number, attempt, load))
     }
 
-    /** Reports the result of attempt number [endedAttempt]; a delivered answer ends the exchange. */
-    internal fun endAttempt(endedAttempt: Int, result: AttemptResult, isDelivered: Boolean) {
-        attempt = null
+    /** Reports the result of [ended]; a delivered answer ends the exchange. A silent attempt may be left. */
+    internal fun endAttempt(ended: Attempt, result: AttemptResult, isDelivered: Boolean) {
+        if (ended === attempt) attempt = silentAttempt else dropPartialEvent()
+        silentAttempt = null
         if (isDelivered) close()
-        environment.post(AttemptEnded(number, endedAttempt, result))
+        environment.post(AttemptEnded(number, ended.number, result))
     }
 
     internal fun lostAnswer(cause: String): AttemptResult =
