Refuse in a drain whatever may outlast it, from its start

A stream that arrived 1.93 s after SIGTERM at its router was cut off after 7.25 s, while a configuration that had nothing to do with it was sent.

Cause: for the first 2.5 s of a drain a router served every request, also those that may last 15 s, and ended the process after 7.2 s. The class of fault is that of a silent upstream given up: a decision ends an answer that goes on, here since the request was admitted without time for it.

Change: in a drain a request is refused as not run, with the time after which another router serves it, if it may last beyond the end of the process. The window of 2.5 s is gone.

Result: the new case of DrainTest failed before (an attempt was sent) and passes; the other three pass as before.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -15,7 +15,6 @@
 private const val RETRY_AFTER_MILLIS = 250L
 private const val START_RETRY_AFTER_MILLIS = 1_000L
 private const val OTHER_ROUTER_RETRY_AFTER_MILLIS = 40L
-private const val DRAIN_ADMISSION_MILLIS = 2_500L
 private const val MAXIMUM_DRAIN_MILLIS = 7_200L
 private const val MAXIMUM_ELECTION_MILLIS = 1_700L
 private const val FIRST_EJECTION_MILLIS = 1_000L
@@ -56,9 +55,10 @@
     val startRetryAfterMillis: Long = START_RETRY_AFTER_MILLIS,
     /** The same if another router can serve at once: without contact with the control processes, or in a drain. */
     val otherRouterRetryAfterMillis: Long = OTHER_ROUTER_RETRY_AFTER_MILLIS,
-    /** Later in a drain, requests that may last beyond its end are refused. */
-    val drainAdmissionMillis: Long = DRAIN_ADMISSION_MILLIS,
-    /** The process exits this long after the start of a drain, even with open requests. */
+    /**
+     * The process exits this long after the start of a drain, even with open requests. Requests that arrive in a drain
+     * and may last longer are refused.
+     */
     val maximumDrainMillis: Long = MAXIMUM_DRAIN_MILLIS,
     /** Duration of the first ejection of an upstream; it doubles with each further one. */
     val firstEjectionMillis: Long = FIRST_EJECTION_MILLIS,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
@@ -46,17 +46,16 @@
             route == null -> refuse(tables, message, unlessOutdated(RefusalReason.UNKNOWN_ROUTE, tables, now), now)
             isKeyRequired && organisation == null ->
                 refuse(tables, message, unlessOutdated(RefusalReason.UNAUTHENTICATED, tables, now), now)
-            tables.endsBefore(now + waitMillis(head, route), now) ->
+            tables.endsBefore(now + waitMillis(head, route)) ->
                 refuse(tables, message, RefusalReason.DRAINING, now)
             else -> acceptRequest(tables, message, Admission(configuration, route, organisation), now)
         }
     }
 
-    /** True late in a drain if the process may exit before [dueAt], when it would cut the request off. */
-    private fun ForwardingTables.endsBefore(dueAt: Timestamp, now: Timestamp): Boolean {
-        val times = settings.times
+    /** True in a drain if the process may exit before [dueAt], when it would cut the request off. */
+    private fun ForwardingTables.endsBefore(dueAt: Timestamp): Boolean {
         val startedAt = drainStartedAt ?: return false
-        return now - startedAt > times.drainAdmissionMillis && dueAt > startedAt + times.maximumDrainMillis
+        return dueAt > startedAt + settings.times.maximumDrainMillis
     }
 
     /** How long the caller and the route let the request wait for its answer, in milliseconds. */
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/DrainTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/DrainTest.kt
@@ -14,6 +14,9 @@
 
 private const val LATE_MILLIS = 4_000L
 
+/** Routes of the test let a request last 5 s, so one that arrives then may last beyond the drain. */
+private const val EARLY_MILLIS = 2_400L
+
 class DrainTest : StringSpec({
     "a request that arrives late in a drain and may outlast it is refused as not run" {
         // Guards against requests that are passed on and cut off without an answer at the end of a planned stop, among
@@ -31,6 +34,17 @@
         }
     }
 
+    "a request that arrives early in a drain and may outlast it is refused as not run" {
+        // Guards against streams that are cut off at the end of a planned stop though another router could serve them.
+        val router = drainingRouter()
+        router.advance(EARLY_MILLIS)
+        listOf("/review/1", "/chat/1").map { router.sendRequest(it, deadlineMillis = 15_000) }.forEach { number ->
+            router.attemptsOf(number).shouldBeEmpty()
+            router.refusalOf(number)?.reason shouldBe RefusalReason.DRAINING
+            router.refusalOf(number)?.outcome shouldBe Outcome.NOT_RUN
+        }
+    }
+
     "a request whose caller waits no longer than the drain lasts is served" {
         // Guards against refusals of short requests while there is time for them.
         val router = drainingRouter()
