--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/DrainTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/DrainTest.kt
@@ -11,6 +11,7 @@
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.forwarding.api.DrainStarted
+import org.ibismoor.forwarding.api.ForwardingTimes
 
 private const val LATE_MILLIS = 4_000L
 
@@ -62,4 +63,5 @@
     }
 })
 
-private fun drainingRouter(): RouterHarness = RouterHarness().start().apply { post(DrainStarted) }
+private fun drainingRouter(): RouterHarness =
+    RouterHarness(times = ForwardingTimes(maximumDrainMillis = 7_200)).start().apply { post(DrainStarted) }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -30,6 +30,7 @@
 import org.ibismoor.forwarding.api.ForwardingEffect
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
+import org.ibismoor.forwarding.api.ForwardingTimes
 import org.ibismoor.forwarding.api.GroupSettings
 import org.ibismoor.forwarding.api.OrganisationRow
 import org.ibismoor.forwarding.api.PromptPart
@@ -53,7 +54,11 @@
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
-internal class RouterHarness(private val budget: Long? = null, session: SessionId = SessionId("a")) {
+internal class RouterHarness(
+    private val budget: Long? = null,
+    session: SessionId = SessionId("a"),
+    times: ForwardingTimes = ForwardingTimes(),
+) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
         entry = OWN_ENTRY,
@@ -61,6 +66,7 @@
         retryRatio = 0.2,
         retrySlack = 600,
         retryWindowMillis = 10_000,
+        times = times,
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
