Do not take a slow caller for a silent upstream

Cause: while the caller's connection is full, the router stops reading from the upstream. Nothing can be received then, and that counted as silence.

Change: the time in which reading is paused does not count.

Result: the new case of SilentUpstreamTest failed before (two requests at upstreams where one is expected) and passes.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -55,6 +55,7 @@
 
     /** When the last part of the answer was received. In a stream, only whole events count. */
     private var lastReceivedAt = System.nanoTime()
+    private var isReadingPaused = false
     private var silenceCheck: ScheduledFuture<*>? = null
 
     val number: Int get() = effect.attempt
@@ -86,7 +87,10 @@
         call?.cancel()
     }
 
+    /** While reading is paused for a slow caller, nothing can be received; that is no silence of the upstream. */
     fun pauseReading(isPaused: Boolean) {
+        isReadingPaused = isPaused
+        lastReceivedAt = System.nanoTime()
         call?.pauseReading(isPaused)
     }
 
@@ -105,7 +109,9 @@
     private fun checkSilence(limitMillis: Long) {
         if (isEnded) return
         val idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReceivedAt)
-        if (idleMillis >= limitMillis) {
+        if (isReadingPaused) {
+            scheduleSilenceCheck(limitMillis, limitMillis)
+        } else if (idleMillis >= limitMillis) {
             isSilent = true
             exchange.reportSilence(this)
             scheduleSilenceCheck(limitMillis, limitMillis)
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/SilentUpstreamTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/SilentUpstreamTest.kt
@@ -15,6 +15,10 @@
 /** Longer than a router waits for the next event, or for an answer, before it tries another upstream. */
 private const val SILENCE_MILLIS = 1_700L
 private const val HEAD = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n"
+
+/** Together more than the buffers of all connections between an upstream and its caller hold. */
+private const val EVENT_BYTES = 64 * 1024
+private const val EVENTS = 256
 private const val LAST_CHUNK = "0\r\n\r\n"
 
 private fun OutputStream.writeNow(text: String) {
@@ -99,6 +103,26 @@
         }
     }
 
+    "a caller that does not read for a while does not make its upstream look silent" {
+        // Guards against a second attempt, and a stream that changes its upstream, since the caller is slow.
+        val event = "data: ${"x".repeat(EVENT_BYTES)}\n\n"
+        val long = RawAnswer { _, output, socket ->
+            output.writeNow(HEAD)
+            (1..EVENTS).forEach { output.writeNow("id: $it\n$event") }
+            socket.close()
+        }
+        RouterFixture(long, long).use { fixture ->
+            fixture.connect().use { socket ->
+                socket.getOutputStream().write(request("POST /resume/1").encodeToByteArray())
+                silence()
+                val received = String(socket.getInputStream().readAllBytes(), Charsets.ISO_8859_1)
+                received.split("id: ") shouldHaveSize EVENTS + 1
+                received shouldEndWith LAST_CHUNK
+            }
+            fixture.receivedRequests shouldHaveSize 1
+        }
+    }
+
     "a stream whose upstream stays silent continues at another one, which alone works on it" {
         // Guards against a stream that waits for an upstream that is gone, and against two that work on it for long.
         val requests = AtomicInteger()
