Log and count answers of the router that end before they are whole

Cause: a router ended a stream with an error event, or closed a connection, without a line in its log, and counted only the refusal, so that an answer that was cut could not be told from a refusal before its start. Request bodies that did not arrive left neither line nor counter.

Change: AnswerTrace keeps what a stream has passed on and reports the first cause that cuts it: the refusal of an answer that has begun, or the caller's leaving. The server tells a ConnectionCutListener of connections that it closes outside of a stream. AnswerCuts writes each as `answer_cut` with id, cause, detail, upstream, events, age_ms and version, and counts it as ibismoor_router_events_total{event="cut",reason}.

--- a/router/src/main/kotlin/org/ibismoor/router/internal/Attempt.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/Attempt.kt
@@ -13,6 +13,8 @@
 import org.ibismoor.routing.api.Dispatch
 
 internal class Attempt(val dispatch: Dispatch, private val exchange: StreamExchange) {
+    val trace: AnswerTrace get() = exchange.trace
+
     fun onCancel(action: () -> Unit) = exchange.onCancel(action)
 
     /** Reports that the first part of the answer is about to be forwarded, after which no retry is possible. */
@@ -26,7 +28,11 @@
     fun reportFailure(failure: AttemptFailure) =
         exchange.report(AttemptFailed(exchange.id, dispatch.upstream.id, failure))
 
-    fun reportCallerDisconnect() = exchange.report(CallerDisconnected(exchange.id))
+    /** Reports that the caller closed the connection while parts of its answer were still to come. */
+    fun reportCallerDisconnect() {
+        exchange.report(CallerDisconnected(exchange.id))
+        trace.reportCut(AnswerCuts.CALLER_LEFT, "answer_running")
+    }
 
     /** Reports that the attempt failed before any part of the answer was forwarded, so that a retry is possible. */
     fun failBeforeStart(failure: AttemptFailure): Response? {
@@ -41,6 +47,15 @@
             is StreamDecision.StartAttempt -> StreamDecision.SendRefusal(exchange.internalErrorRefusal())
         }
 
+    /** Waits for the final decision about an answer of which parts were passed on. [detail] says why it ended. */
+    fun awaitEndOfAnswer(detail: String): StreamDecision.Final =
+        awaitFinalDecision().also {
+            when (it) {
+                is StreamDecision.SendRefusal -> trace.reportCut(it.refusal.reason.code, detail)
+                StreamDecision.DeliverAnswer -> trace.recordCharge()
+            }
+        }
+
     /** Waits until the charge of a complete answer is durable, then returns [response], or the refusal on failure. */
     fun respondWhenCharged(refusals: Refusals, response: () -> Response): Response =
         when (val decision = awaitFinalDecision()) {
--- a/router/src/main/kotlin/org/ibismoor/router/internal/ChatBody.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/ChatBody.kt
@@ -14,35 +14,42 @@
 ) : PartStream() {
     private var first: ChatPart? = first
     private var isEnded = false
+    private var isLastPartWritten = false
 
     override fun nextPart(): ByteArray? {
-        if (isEnded) return null
+        if (isEnded) {
+            isLastPartWritten = true
+            return null
+        }
         return when (val part = first?.also { first = null } ?: reader.next()) {
-            is ChatPart.Content -> part.event.encode()
+            is ChatPart.Content -> part.event.encode().also { attempt.trace.countEvent() }
             is ChatPart.End -> completeAnswer(part)
             is ChatPart.Broken -> failAnswer(part)
         }
     }
 
     override fun close() {
-        if (!isEnded) attempt.reportCallerDisconnect()
+        when {
+            !isEnded -> attempt.reportCallerDisconnect()
+            !isLastPartWritten -> attempt.trace.reportUnwritten()
+        }
         reader.close()
     }
 
     private fun completeAnswer(part: ChatPart.End): ByteArray {
         attempt.reportCompletion(part.usage.cost, ChatForwarder.SUCCESS)
         val events = part.heldEvents + ServerEvent(ServerEvent.TERMINATOR)
-        return finishStream { events.map { it.encode() }.reduce(ByteArray::plus) }
+        return finishStream(AnswerCuts.CHARGE) { events.map { it.encode() }.reduce(ByteArray::plus) }
     }
 
     private fun failAnswer(part: ChatPart.Broken): ByteArray {
         attempt.reportFailure(part.failure)
-        return finishStream { ByteArray(0) }
+        return finishStream(part.failure.code) { ByteArray(0) }
     }
 
-    private fun finishStream(finalBytes: () -> ByteArray): ByteArray {
+    private fun finishStream(detail: String, finalBytes: () -> ByteArray): ByteArray {
         isEnded = true
-        return when (val decision = attempt.awaitFinalDecision()) {
+        return when (val decision = attempt.awaitEndOfAnswer(detail)) {
             is StreamDecision.SendRefusal -> refusals.errorEvent(decision.refusal)
             StreamDecision.DeliverAnswer -> finalBytes()
         }
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
@@ -17,8 +17,10 @@
 import org.ibismoor.routing.api.initialRoutingTables
 import org.ibismoor.runtime.api.ControlLoop
 import org.ibismoor.runtime.api.createClock
+import org.ibismoor.runtime.api.createLog
 import org.ibismoor.transport.api.CallerHandler
 import org.ibismoor.transport.api.ClientSettings
+import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.ServerSettings
 import org.ibismoor.transport.api.createInternalClient
 import org.ibismoor.transport.api.createOkHttpClient
@@ -38,8 +40,13 @@
 internal fun startRouterProcess(settings: RouterSettings): RouterProcess {
     val handler = CompletableFuture<CallerHandler>()
     val serverSettings = ServerSettings(settings.host, settings.port, settings.httpLimits)
-    val server = createServer(serverSettings) { request, caller -> handler.join().handle(request, caller) }.start()
+    val cutListener = CompletableFuture<ConnectionCutListener>()
+    val server = createServer(
+        serverSettings,
+        { cut -> cutListener.thenAccept { it.onCut(cut) } },
+    ) { request, caller -> handler.join().handle(request, caller) }.start()
     val router = RunningRouter(settings, server)
+    cutListener.complete(router.cutListener)
     handler.complete(router.handler)
     router.start()
     return router
@@ -49,7 +56,8 @@
     private val session = SessionId(UUID.randomUUID().toString())
     private val baseUrl = settings.publicUrl ?: "http://${settings.host}:${server.port()}"
     private val metrics = RouterMetrics { loop.tables }
-    private val registry = StreamRegistry { loop.post(RoutingInput(it)) }
+    private val cuts = AnswerCuts(createLog("router"), metrics) { loop.tables.view.configuration.number }
+    private val registry = StreamRegistry(cuts) { loop.post(RoutingInput(it)) }
     private val internalClient = createInternalClient()
     private val loop: ControlLoop<RouterTables, RouterMessage, RouterEffect> = createLoop()
     private val controlThread = Executors.newSingleThreadExecutor { Thread(it, "control").apply { isDaemon = true } }
@@ -58,6 +66,7 @@
     override val port: Int get() = server.port()
 
     val handler: CallerHandler = createHandler()
+    val cutListener = ConnectionCutListener(cuts::record)
 
     fun start() {
         val job = CoroutineScope(controlThread.asCoroutineDispatcher()).launch { loop.run() }
--- a/router/src/main/kotlin/org/ibismoor/router/internal/ServiceBody.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/ServiceBody.kt
@@ -15,37 +15,44 @@
 ) : PartStream() {
     private var first: ByteArray? = first
     private var isEnded = false
+    private var isLastPartWritten = false
 
     override fun nextPart(): ByteArray? {
-        if (isEnded) return null
+        if (isEnded) {
+            isLastPartWritten = true
+            return null
+        }
         val part = first?.also { first = null } ?: reader.next()
         return when {
             reader.failure != null -> failAnswer()
             reader.isComplete -> completeAnswer(part)
-            else -> part
+            else -> part.also { attempt.trace.countEvent() }
         }
     }
 
     override fun close() {
-        if (!isEnded) attempt.reportCallerDisconnect()
+        when {
+            !isEnded -> attempt.reportCallerDisconnect()
+            !isLastPartWritten -> attempt.trace.reportUnwritten()
+        }
         reader.close()
     }
 
     private fun completeAnswer(part: ByteArray): ByteArray {
         attempt.reportCompletion(attempt.dispatch.costLimit, reader.status)
-        finishAnswer()
+        finishAnswer(AnswerCuts.CHARGE)
         return part
     }
 
     private fun failAnswer(): ByteArray? {
         attempt.reportFailure(AttemptFailure.BROKEN_ANSWER)
-        finishAnswer()
+        finishAnswer(checkNotNull(reader.failure).code)
         return null
     }
 
-    private fun finishAnswer() {
+    private fun finishAnswer(detail: String) {
         isEnded = true
-        val decision = attempt.awaitFinalDecision()
+        val decision = attempt.awaitEndOfAnswer(detail)
         if (decision != StreamDecision.DeliverAnswer) throw IOException("service answer is incomplete or not charged")
     }
 }
--- a/router/src/main/kotlin/org/ibismoor/router/internal/StreamExchange.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/StreamExchange.kt
@@ -15,7 +15,11 @@
 /** Exceeds every deadline of the control state and applies only if the control thread has terminated. */
 private const val DECISION_TIMEOUT_MINUTES = 30L
 
-internal class StreamExchange(val id: StreamId, private val post: (RoutingMessage) -> Unit) {
+internal class StreamExchange(
+    val id: StreamId,
+    val trace: AnswerTrace,
+    private val post: (RoutingMessage) -> Unit,
+) {
     private val decisions = LinkedBlockingQueue<StreamDecision>()
     private var cancelAttempt: () -> Unit = {}
     private var isCancelled = false
@@ -23,7 +27,10 @@
     fun report(message: RoutingMessage) = post(message)
 
     fun postDecision(decision: StreamDecision) {
-        if (decision is StreamDecision.StartAttempt) resetCancellation()
+        if (decision is StreamDecision.StartAttempt) {
+            trace.upstream = decision.dispatch.upstream.id
+            resetCancellation()
+        }
         decisions.add(decision)
     }
 
--- a/router/src/main/kotlin/org/ibismoor/router/internal/StreamRegistry.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/StreamRegistry.kt
@@ -8,12 +8,13 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-internal class StreamRegistry(private val post: (RoutingMessage) -> Unit) {
+internal class StreamRegistry(private val cuts: AnswerCuts, private val post: (RoutingMessage) -> Unit) {
     private val streams = ConcurrentHashMap<StreamId, StreamExchange>()
     private val lastId = AtomicLong()
 
     fun open(): StreamExchange {
-        val exchange = StreamExchange(StreamId(lastId.incrementAndGet()), post)
+        val id = StreamId(lastId.incrementAndGet())
+        val exchange = StreamExchange(id, AnswerTrace(id, cuts), post)
         streams[exchange.id] = exchange
         return exchange
     }
--- a/router/src/main/kotlin/org/ibismoor/router/internal/StreamRunner.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/StreamRunner.kt
@@ -19,7 +19,10 @@
     ): Response {
         val exchange = registry.open()
         exchange.report(RequestArrived(exchange.id, request))
-        caller.onClosed { exchange.report(CallerDisconnected(exchange.id)) }
+        caller.onClosed {
+            exchange.report(CallerDisconnected(exchange.id))
+            exchange.trace.reportCut(AnswerCuts.CALLER_LEFT, "connection_closed")
+        }
         var response: Response? = null
         while (response == null) response = executeDecision(exchange, attempt)
         return response
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingEvent.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingEvent.kt
@@ -3,4 +3,4 @@
  */
 package org.ibismoor.routing.api
 
-enum class RoutingEvent { REFUSAL, RETRY, EJECTION, CANCELLATION }
+enum class RoutingEvent { REFUSAL, RETRY, EJECTION, CANCELLATION, CUT }
--- a/transport/src/main/kotlin/org/ibismoor/transport/api/HttpServers.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/HttpServers.kt
@@ -9,7 +9,11 @@
 import org.http4k.server.ServerConfig
 import org.ibismoor.transport.internal.FlushingServer
 
-fun createServer(settings: ServerSettings, handler: CallerHandler): Http4kServer = FlushingServer(settings, handler)
+fun createServer(settings: ServerSettings, handler: CallerHandler): Http4kServer = createServer(settings, {}, handler)
+
+/** [cuts] is told of the connections that end without a whole answer. */
+fun createServer(settings: ServerSettings, cuts: ConnectionCutListener, handler: CallerHandler): Http4kServer =
+    FlushingServer(settings, cuts, handler)
 
 fun createServerConfig(settings: ServerSettings): ServerConfig =
     object : ServerConfig {
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/BodyReader.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/BodyReader.kt
@@ -12,6 +12,8 @@
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.ConnectionCut
+import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.HttpLimits
 import org.ibismoor.transport.api.refusalResponse
 import org.xnio.IoUtils
@@ -24,6 +26,7 @@
 internal class BodyReader(
     private val limits: HttpLimits,
     private val workers: Executor,
+    private val cuts: ConnectionCutListener,
     private val handler: CallerHandler,
 ) : HttpHandler {
     override fun handleRequest(exchange: HttpServerExchange) {
@@ -39,7 +42,7 @@
 
     private fun receive(exchange: HttpServerExchange, limit: Long) {
         val timeout = exchange.ioThread.executeAfter(
-            { IoUtils.safeClose(exchange.connection) },
+            { cut(exchange, ConnectionCut.REQUEST_TIMEOUT) },
             limits.bodyTimeoutMillis,
             TimeUnit.MILLISECONDS,
         )
@@ -47,7 +50,7 @@
         exchange.requestReceiver.receiveFullBytes(
             { received, bytes ->
                 timeout.remove()
-                received.dispatch(workers, ExchangeHandler(handler, bytes))
+                received.dispatch(workers, ExchangeHandler(handler, bytes, cuts))
             },
             { failed, e ->
                 timeout.remove()
@@ -60,13 +63,18 @@
         if (e is Receiver.RequestToLargeException) {
             refuse(exchange, tooLarge(limit))
         } else {
-            IoUtils.safeClose(exchange.connection)
+            cut(exchange, ConnectionCut.REQUEST_BROKEN)
         }
     }
 
+    private fun cut(exchange: HttpServerExchange, cause: ConnectionCut) {
+        cuts.onCut(cause)
+        IoUtils.safeClose(exchange.connection)
+    }
+
     private fun refuse(exchange: HttpServerExchange, response: Response) {
         exchange.isPersistent = false
-        exchange.dispatch(workers, ExchangeHandler({ _, _ -> response }, ByteArray(0)))
+        exchange.dispatch(workers, ExchangeHandler({ _, _ -> response }, ByteArray(0), cuts))
     }
 
     /** With another coding the length of the body is unknown, so that its bytes could be read as the next request. */
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/DisconnectDetector.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/DisconnectDetector.kt
@@ -16,9 +16,12 @@
 
 internal class DisconnectDetector private constructor(private val connection: HttpServerConnection) : CallerConnection {
     private var isReading = false
-    private var isClosed = false
     private var actions = emptyList<() -> Unit>()
 
+    @get:Synchronized
+    var isClosed = false
+        private set
+
     /** Starts the detection. The body of the request must have been read. */
     @Synchronized
     fun start() {
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/ExchangeHandler.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/ExchangeHandler.kt
@@ -16,6 +16,8 @@
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.ConnectionCut
+import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.refusalResponse
 import org.xnio.IoUtils
 import java.io.IOException
@@ -24,7 +26,11 @@
 
 private const val BUFFER_BYTES = 16 * 1024
 
-internal class ExchangeHandler(private val handler: CallerHandler, private val body: ByteArray) : HttpHandler {
+internal class ExchangeHandler(
+    private val handler: CallerHandler,
+    private val body: ByteArray,
+    private val cuts: ConnectionCutListener,
+) : HttpHandler {
     override fun handleRequest(exchange: HttpServerExchange) {
         val detector = DisconnectDetector.of(exchange.connection)
         detector.start()
@@ -62,6 +68,7 @@
         exchange.statusCode = response.status.code
         response.headers.forEach { (name, value) -> exchange.responseHeaders.add(HttpString(name), value.orEmpty()) }
         response.body.length?.let { exchange.responseHeaders.put(Headers.CONTENT_LENGTH, it) }
+        val hasCallerLeft = detector.isClosed
         try {
             exchange.startBlocking()
             if (response.body.length != null) detector.stop()
@@ -70,6 +77,7 @@
             exchange.outputStream.close()
         } catch (_: IOException) {
             // The caller disconnected or the answer is incomplete; closing keeps it from looking complete.
+            if (response.body.length != null && !hasCallerLeft) cuts.onCut(ConnectionCut.ANSWER_UNWRITTEN)
             IoUtils.safeClose(exchange.connection)
         }
     }
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
@@ -9,6 +9,7 @@
 import io.undertow.server.handlers.GracefulShutdownHandler
 import org.http4k.server.Http4kServer
 import org.ibismoor.transport.api.CallerHandler
+import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.ServerSettings
 import java.net.InetSocketAddress
 import java.util.concurrent.SynchronousQueue
@@ -19,7 +20,11 @@
 private const val EVENT_THREADS = 2
 private const val MINIMUM_WORKER_THREADS = 1
 
-internal class FlushingServer(private val settings: ServerSettings, handler: CallerHandler) : Http4kServer {
+internal class FlushingServer(
+    private val settings: ServerSettings,
+    cuts: ConnectionCutListener,
+    handler: CallerHandler,
+) : Http4kServer {
     private val workers =
         ThreadPoolExecutor(
             MINIMUM_WORKER_THREADS,
@@ -28,7 +33,7 @@
             TimeUnit.SECONDS,
             SynchronousQueue(),
         )
-    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, handler))
+    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, cuts, handler))
     private val undertow = build()
 
     override fun start(): Http4kServer = apply { undertow.start() }
