Keep the router running when a key names a control process it has no address for

Symptom: after a control process was added and published, one request whose idempotency key is homed there ended the control thread of a router that had started earlier ("Key sur is missing in the map"), and with it the process and every answer in flight. The callers got neither an answer nor a refusal.

Cause: the routing decisions take a domain as reachable if the settings or the configuration name it; the messenger knew only the addresses of the settings and threw inside an effect, which ends the control loop.

Change: ControlDirectory also takes the published address. If a later configuration has removed the domain, the message counts as not sent, so that requests end with home_unavailable and resends go on.

Result: UnlistedControlTest failed before (NoSuchElementException in the control thread, no answer in 20 s); now the request is claimed at the published process and a stream beside it ends whole. ChatTest and BadInputTest pass.

--- a/router/src/main/kotlin/org/ibismoor/router/internal/ControlMessenger.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/ControlMessenger.kt
@@ -4,7 +4,6 @@
 package org.ibismoor.router.internal
 
 import kotlinx.serialization.builtins.ListSerializer
-import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.ledger.api.LedgerAnswer
 import org.ibismoor.membership.api.Heartbeat
@@ -16,13 +15,14 @@
 
 internal class ControlMessenger(
     private val session: SessionId,
-    private val controls: Map<FailureDomainId, String>,
+    private val controls: ControlDirectory,
     private val client: InternalClient,
     private val post: (RouterMessage) -> Unit,
 ) {
     fun send(effect: SendHeartbeat) {
+        val url = controls.urlOf(effect.domain) ?: return post(HeartbeatFailed(effect.domain))
         client.postJson(
-            urlOf(effect.domain) + InternalPaths.HEARTBEAT,
+            url + InternalPaths.HEARTBEAT,
             effect.heartbeat,
             Heartbeat.serializer(),
             HeartbeatAnswer.serializer(),
@@ -33,8 +33,10 @@
     }
 
     fun send(effect: SendBatch) {
+        val url = controls.urlOf(effect.domain)
+            ?: return post(BatchFailed(effect.domain, effect.number, isDelivered = false))
         client.postJson(
-            urlOf(effect.domain) + InternalPaths.LEDGER,
+            url + InternalPaths.LEDGER,
             LedgerBatch(session, effect.requests),
             LedgerBatch.serializer(),
             ListSerializer(LedgerAnswer.serializer()),
@@ -48,6 +50,4 @@
             is CallResult.Refused, is CallResult.AnswerLost ->
                 BatchFailed(batch.domain, batch.number, isDelivered = true)
         }
-
-    private fun urlOf(domain: FailureDomainId): String = controls.getValue(domain)
 }
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
@@ -96,7 +96,8 @@
     }
 
     private fun createEffects(): RouterEffects {
-        val controls = settings.controlAddresses.associate { it.domain to it.baseUrl.trimEnd('/') }
+        val addresses = settings.controlAddresses.associate { it.domain to it.baseUrl.trimEnd('/') }
+        val controls = ControlDirectory(addresses) { loop.tables.view.configuration.controlMembers.values }
         val messenger = ControlMessenger(session, controls, internalClient) { loop.post(it) }
         return RouterEffects(messenger, registry, metrics) { termination.complete(Unit) }
     }
--- a/router/src/test/kotlin/org/ibismoor/router/FakeControl.kt
+++ b/router/src/test/kotlin/org/ibismoor/router/FakeControl.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.configuration.api.ApiKey
 import org.ibismoor.configuration.api.ConfigurationNumber
 import org.ibismoor.configuration.api.ConfigurationTables
+import org.ibismoor.configuration.api.ControlMember
 import org.ibismoor.configuration.api.ModelRoute
 import org.ibismoor.configuration.api.Organisation
 import org.ibismoor.configuration.api.Route
@@ -23,6 +24,7 @@
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.RequestKey
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.UpstreamGroupId
@@ -53,6 +55,8 @@
 
 const val API_KEY = "test-key"
 const val POOR_KEY = "poor-key"
+val UNLISTED_REPLICA = ReplicaId(FailureDomainId("sur"), 1)
+private const val SILENCE_CHECK_MILLIS = 10L
 private val domain = FailureDomainId("norte")
 private val organisation = OrganisationId("desk")
 
@@ -66,8 +70,12 @@
     /** The first body digest used with each request key. */
     private val bodies = ConcurrentHashMap<RequestKey, BodyDigest>()
 
-    private val configuration = configurationOf(engines, services)
+    /** While true, requests get no answer. */
+    @Volatile
+    var isSilent = false
+
     private val server = createServer(ServerSettings("127.0.0.1", 0)) { request, _ ->
+        while (isSilent) Thread.sleep(SILENCE_CHECK_MILLIS)
         when (request.uri.path) {
             InternalPaths.HEARTBEAT -> request.withJsonBody(Heartbeat.serializer(), ::heartbeat)
             InternalPaths.LEDGER -> request.withJsonBody(LedgerBatch.serializer(), ::ledger)
@@ -77,6 +85,11 @@
 
     val url = "http://127.0.0.1:${server.port()}"
 
+    /** Names a second control process at the address of this one, which the settings of the router do not have. */
+    private val configuration = configurationOf(engines, services).copy(
+        controlMembers = persistentHashMapOf(UNLISTED_REPLICA to ControlMember(UNLISTED_REPLICA, url)),
+    )
+
     override fun close() {
         server.stop()
     }
