Let an answer outlast a ledger that lacks tokens while others are silent

Symptom: a stream of a router ended in the middle with share_exhausted although its engine went on: the domain's ledger could not cover an extension and could not reach the quorum for 0.5 s. An answer whose ledger was silent for 4 s ended with budget_exhausted when the next ledger did not find the tokens that were still set aside at the first.

Cause: each refusal of a ledger ended the stream, also one that only states what this ledger can cover now.

Change: while an answer runs or waits for its charge, a refusal of more tokens for a reason of this ledger, or of a moved reservation, is asked again after the resend time, at this ledger or the next one. The answer still ends only after its charge, so nothing is spent beyond the budget; without the tokens it ends at its deadline. A budget that the quorum says is spent ends a running answer as before.

--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerAnswerSystem.kt
@@ -3,7 +3,6 @@
  */
 package org.ibismoor.routing.internal
 
-import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.ledger.api.Cancelled
@@ -101,13 +100,16 @@
         val reservation = checkNotNull(row.reservation)
         val refusedReservation = reservation.copy(refusedBy = reservation.refusedBy.add(reservation.authority))
         val other = requests.alternativeLedger(tables, row, refusedReservation)
-            .takeIf { reservation.pending is Reserve && answer.reason in LEDGER_LOCAL }
-        return if (other != null && row.work.isIdempotent) {
-            requests.moveReservation(tables, row.copy(reservation = refusedReservation), other, now)
-        } else {
-            val failure = Failure(answer.reason, answer.outcome, answer.recordedStatus)
-            val ended = row.copy(reservation = reservation.takeIf { it.pending !is Reserve })
-            tables.failStream(settings, ended, failure, now)
+            .takeIf { reservation.pending is Reserve && answer.reason in ledgerLocalReasons }
+        return when {
+            other != null && row.work.isIdempotent ->
+                requests.moveReservation(tables, row.copy(reservation = refusedReservation), other, now)
+            row.mayBeCoveredLater(reservation, answer.reason) -> tables.askAgainLater(row, limits, now).step()
+            else -> {
+                val failure = Failure(answer.reason, answer.outcome, answer.recordedStatus)
+                val ended = row.copy(reservation = reservation.takeIf { it.pending !is Reserve })
+                tables.failStream(settings, ended, failure, now)
+            }
         }
     }
 
@@ -120,10 +122,4 @@
             tables.markSuspected(message.authority.domain).step()
         }
     }
-
-    private companion object {
-        /** Refusals that concern one domain ledger only, so another one may take the work. */
-        val LEDGER_LOCAL =
-            setOf(RefusalReason.SHARE_EXHAUSTED, RefusalReason.STORAGE_UNAVAILABLE, RefusalReason.NOT_READY)
-    }
 }
