Keep a complete answer until its deadline while no control process answers

Symptom: a router ended a whole answer with ledger_unavailable and outcome ran 10 s after its end when no control process had answered in that time, although the deadline of its request was not reached (up to 1 h for a route).

Cause: the time-out of the charge took no account of the deadline.

Change: a complete answer without a charge fails at the later of its deadline and 10 s after its end. The charge is sent again until then.

Result: both new cases of LedgerSilenceTest failed before (refused at 10 s of a deadline of 30 s) and pass now, with the other tests of routing.

--- a/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingLimits.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingLimits.kt
@@ -22,9 +22,9 @@
  *
  * An unanswered ledger request is sent again after [ledgerResendMillis]; a request whose reservation takes longer than
  * [reserveTimeoutMillis] fails. An answer is settled at another ledger after [settleMoveMillis] without an answer from
- * the first one, and fails after [settleTimeoutMillis]. [sessionTimeoutMillis] is shorter than the 6 s after which a
- * ledger drops a session; the difference covers 1% clock drift and a message in flight. [addressCacheMillis] is the
- * time for which callers cache router addresses.
+ * the first one, and fails after [settleTimeoutMillis], but not before its deadline. [sessionTimeoutMillis] is shorter
+ * than the 6 s after which a ledger drops a session; the difference covers 1% clock drift and a message in flight.
+ * [addressCacheMillis] is the time for which callers cache router addresses.
  */
 data class RoutingLimits(
     val queueLength: Int = DEFAULT_QUEUE_LENGTH,
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/DeadlineSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/DeadlineSystem.kt
@@ -42,11 +42,10 @@
         }
 
     private fun handleStreamTimer(tables: RoutingTables, row: StreamRow, now: Timestamp): RoutingStep {
-        val completion = row.completion
+        val endsAt = row.settleDeadline(limits) ?: row.work.deadline
         val isResendDue = row.reservation?.pending != null && checkNotNull(row.reservation).resendAt <= now
-        val isSettleTimedOut = completion != null && now >= completion.completedAt + limits.settleTimeoutMillis
         return when {
-            isSettleTimedOut || (completion == null && now >= row.work.deadline) || row.phase == StreamPhase.QUEUED ->
+            now >= endsAt || row.phase == StreamPhase.QUEUED ->
                 tables.failStream(settings, row, timeoutFailure(tables, row), now)
             isResendDue -> requests.handleUnanswered(tables, row, isDelivered = true, now)
             else -> tables.copy(streamsToSelect = tables.streamsToSelect.add(row.id)).step()
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
@@ -27,11 +27,17 @@
         StreamPhase.QUEUED -> minOf(work.deadline, work.arrivedAt + limits.queueTimeoutMillis)
         StreamPhase.RESERVING, StreamPhase.RUNNING -> minOf(work.deadline, resend)
         StreamPhase.WAITING -> minOf(work.deadline, resend, retryAt ?: work.deadline)
-        StreamPhase.ANSWERED ->
-            minOf(checkNotNull(completion).completedAt + limits.settleTimeoutMillis, settleResendTime())
+        StreamPhase.ANSWERED -> minOf(checkNotNull(settleDeadline(limits)), settleResendTime())
     }
 }
 
+/**
+ * When a complete answer fails without a charge; null for one that is not complete. Not before the deadline of the
+ * request, since the control processes may be silent for longer than the time-out.
+ */
+internal fun StreamRow.settleDeadline(limits: RoutingLimits): Timestamp? =
+    completion?.let { maxOf(work.deadline, it.completedAt + limits.settleTimeoutMillis) }
+
 private fun StreamRow.settleResendTime(): Timestamp =
     reservation?.takeIf { it.pending != null }?.resendAt ?: Timestamp(Long.MAX_VALUE)
 
--- a/routing/src/test/kotlin/org/ibismoor/routing/LedgerSilenceTest.kt
+++ b/routing/src/test/kotlin/org/ibismoor/routing/LedgerSilenceTest.kt
@@ -127,4 +127,33 @@
         router.grant(moved, 100).shouldEndNoAnswer()
         router.shouldDeliver(dispatch)
     }
+
+    "a complete answer waits for its charge until its deadline while no control process answers" {
+        val router = single()
+        val dispatch = router.dispatch(1)
+        router.complete(dispatch)
+        val settles = router.advance(20_000).shouldEndNoAnswer().ledgerRequests().map { it.request }
+        // The session is over after 4 s, so the charge needs a new reservation.
+        val reserve = settles.last { it is Reserve }
+        val settle = router.send(LedgerAnswered(Reserved(reserve.attempt, 50))).last<Settle>()
+        router.settle(settle) shouldContain ReleaseAnswer(StreamId(1))
+        router.confirmCancellations()
+        router.isEmpty() shouldBe true
+    }
+
+    "a complete answer without a charge ends at its deadline, and one that is complete late still has 10 s" {
+        val early = single()
+        early.complete(early.dispatch(1))
+        early.advance(29_950).shouldEndNoAnswer()
+        early.advance(30_000).refusal().reason shouldBe RefusalReason.LEDGER_UNAVAILABLE
+        val late = single()
+        val dispatch = late.dispatch(1)
+        while (late.now < 29_000) {
+            late.advance(late.now + 500).shouldEndNoAnswer()
+            late.send(ControlContactReceived(LedgerAuthority(norte1)))
+        }
+        late.complete(dispatch)
+        late.advance(38_950).shouldEndNoAnswer()
+        late.advance(39_000).refusal().outcome shouldBe Outcome.RAN
+    }
 })
