Charge a whole answer whose reservation a second attempt has replaced

Symptom: a caller sent a request a second time with its key, at another router, while the first attempt still ran. The first answer came whole from its engine, but its charge was refused with in_progress, or with already_ran once the second was charged, and it ended without [DONE].

Cause: a ledger has one open reservation for each key, and the newer replaces the older one. The router took the refused charge as the end of the answer.

Change: repeatable work whose extension or charge is refused because its reservation is gone reserves once more at the same ledger and is charged there. The ledger charges a key once: if the other attempt was first, the new reservation is a rerun at no cost. After a second refusal the answer ends. Claims are never reserved again.

That the ledger of production grants the new reservation is read from its code, not run.

--- a/routing/src/main/kotlin/org/ibismoor/routing/api/StreamReservation.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/StreamReservation.kt
@@ -13,7 +13,7 @@
 /**
  * [amount] is in budget tokens. [pending] is the ledger request without an answer: [requestSentAt] is when it was last
  * sent, [resendAt] when it is due again, and [waitingSince] when the router began to wait. [refusedBy] are the ledgers
- * that could not take the reservation.
+ * that could not take the reservation. [isRenewed] is true if it replaces one that the ledger had ended.
  */
 data class StreamReservation(
     val attempt: AttemptId,
@@ -25,6 +25,7 @@
     val waitingSince: Timestamp,
     val isHeld: Boolean = false,
     val isRerun: Boolean = false,
+    val isRenewed: Boolean = false,
     val refusedBy: PersistentSet<FailureDomainId> = NO_AUTHORITIES,
 ) {
     internal companion object {
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerAnswerSystem.kt
@@ -104,6 +104,10 @@
         return when {
             other != null && row.work.isIdempotent ->
                 requests.moveReservation(tables, row.copy(reservation = refusedReservation), other, now)
+            row.canRenew(reservation, answer.reason) -> {
+                val renewed = row.copy(reservation = reservation.copy(isRenewed = true))
+                requests.moveReservation(tables, renewed, reservation.authority, now)
+            }
             row.mayBeCoveredLater(reservation, answer.reason) -> tables.askAgainLater(row, limits, now).step()
             else -> {
                 val failure = Failure(answer.reason, answer.outcome, answer.recordedStatus)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerRefusals.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/LedgerRefusals.kt
@@ -6,6 +6,7 @@
 
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.ledger.api.Extend
 import org.ibismoor.ledger.api.Reserve
 import org.ibismoor.ledger.api.Settle
 import org.ibismoor.routing.api.RoutingLimits
@@ -18,6 +19,18 @@
 internal val ledgerLocalReasons =
     setOf(RefusalReason.SHARE_EXHAUSTED, RefusalReason.STORAGE_UNAVAILABLE, RefusalReason.NOT_READY)
 
+/** Refusals of a charge or an extension for which the ledger has no open reservation any more. */
+private val endedReasons = setOf(RefusalReason.SESSION_EXPIRED, RefusalReason.IN_PROGRESS, RefusalReason.ALREADY_RAN)
+
+/**
+ * True if the ledger has ended the reservation of an answer, for example because a second attempt of the caller at
+ * another router replaced it. Repeatable work then reserves once more: the ledger charges its key only once.
+ */
+internal fun StreamRow.canRenew(reservation: StreamReservation, reason: RefusalReason): Boolean {
+    val wasOpen = reservation.pending is Extend || reservation.pending is Settle
+    return work.isIdempotent && wasOpen && !reservation.isRenewed && reason in endedReasons
+}
+
 /**
  * True if the refusal shows only that this ledger lacks tokens while others cannot be reached. The reservation of an
  * answer is only moved away from a silent ledger, where its tokens are still set aside, so the budget may miss them.
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/ReservationRequests.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/ReservationRequests.kt
@@ -57,6 +57,7 @@
             resendAt = now + limits.ledgerResendMillis,
             waitingSince = target.waitingSince,
             refusedBy = row.reservation?.refusedBy ?: StreamReservation.NO_AUTHORITIES,
+            isRenewed = row.reservation?.isRenewed ?: false,
         )
         return tables.copy(nextAttempt = tables.nextAttempt + 1)
             .putStream(row.copy(reservation = reservation), limits)
--- a/routing/src/test/kotlin/org/ibismoor/routing/LedgerSilenceTest.kt
+++ b/routing/src/test/kotlin/org/ibismoor/routing/LedgerSilenceTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldNotBe
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.ledger.api.Cancel
 import org.ibismoor.ledger.api.Cancelled
 import org.ibismoor.ledger.api.Extend
 import org.ibismoor.ledger.api.Refused
@@ -156,4 +157,36 @@
         late.advance(38_950).shouldEndNoAnswer()
         late.advance(39_000).refusal().outcome shouldBe Outcome.RAN
     }
+
+    "a complete answer is charged although a second attempt with its key has taken over the reservation" {
+        // A caller that sends its request again at another router replaces the reservation of its key.
+        val router = single()
+        val dispatch = router.dispatch(1, request(key = "caller-key"))
+        val settle = router.complete(dispatch)
+        val effects = router.refuse(settle, RefusalReason.IN_PROGRESS, Outcome.MAY_HAVE_RUN).shouldEndNoAnswer()
+        val reserve = effects.last<Reserve>()
+        (effects.last<Cancel>().request as Cancel).attempt shouldBe settle.request.attempt
+        val again = router.grant(reserve, 50).last<Settle>()
+        router.settle(again) shouldContain ReleaseAnswer(StreamId(1))
+        router.confirmCancellations()
+        router.isEmpty() shouldBe true
+    }
+
+    "a charge that is refused again after a new reservation ends the answer" {
+        val router = single()
+        val settle = router.complete(router.dispatch(1))
+        val reserve = router.refuse(settle, RefusalReason.SESSION_EXPIRED, Outcome.MAY_HAVE_RUN).last<Reserve>()
+        val again = router.grant(reserve, 50).last<Settle>()
+        val refused = router.refuse(again, RefusalReason.SESSION_EXPIRED, Outcome.MAY_HAVE_RUN)
+        refused.refusal().reason shouldBe RefusalReason.SESSION_EXPIRED
+    }
+
+    "a claim whose charge is refused is not reserved again" {
+        // A second reservation of work that is not idempotent would be a second claim.
+        val router = single()
+        val settle = router.complete(router.dispatch(1, request(booking)), 5)
+        val refused = router.refuse(settle, RefusalReason.SESSION_EXPIRED, Outcome.MAY_HAVE_RUN)
+        refused.refusal().reason shouldBe RefusalReason.SESSION_EXPIRED
+        refused.ledgerRequests().filter { it.request is Reserve }.shouldBeEmpty()
+    }
 })
