Give each request a digest of its content

Symptom: a repetition of a request cannot be recognised. Its call identifier and deadline are new each time, and a request on a plain route has no prompt parts.

Cause: RequestHead holds only what differs between repetitions.

The traffic thread computes it when the request is complete.

Nothing reads the digest yet.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
@@ -4,6 +4,7 @@
 package org.ibismoor.forwarding.api
 
 import org.ibismoor.core.api.ApiKeyDigest
+import org.ibismoor.core.api.RequestDigest
 
 data class RequestHead(
     /** The caller's own identifier of this call; it is in each log line about the request. */
@@ -15,4 +16,6 @@
     /** Time in milliseconds for which the caller still waits; null if it sent no deadline. */
     val deadlineMillis: Long?,
     val prompt: PromptShape?,
+    /** Equal for requests with the same content; the call identifier and the deadline differ between repetitions. */
+    val digest: RequestDigest,
 )
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Tick
@@ -103,7 +104,9 @@
 
     fun sendRequest(router: Int, organisation: OrganisationId, prompt: PromptShape) {
         val number = RequestNumber(nextNumber++)
-        val head = RequestHead("call-${number.value}", "desk.example", "/chat/1", keyOf(organisation), 4_000, prompt)
+        val digest = RequestDigest("digest-${number.value}")
+        val key = keyOf(organisation)
+        val head = RequestHead("call-${number.value}", "desk.example", "/chat/1", key, 4_000, prompt, digest)
         routers[router].accept(number, head, organisation)
     }
 
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/PromptFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/PromptFleet.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Tick
@@ -100,7 +101,8 @@
         val shared = newPart?.takeIf { index == 0 } ?: "shared-$index"
         val ids = listOfNotNull(shared, FATAL_PART.takeIf { isFatal }, session, "own-${number.value}")
         val prompt = PromptShape(PART_TOKENS * ids.size, PART_TOKENS, ids.map { PromptPart(it, PART_TOKENS) })
-        val head = RequestHead("call-${number.value}", "desk.example", "/chat/1", KEY, 4_000, prompt)
+        val digest = RequestDigest("digest-${number.value}")
+        val head = RequestHead("call-${number.value}", "desk.example", "/chat/1", KEY, 4_000, prompt, digest)
         val router = random.nextInt(ROUTER_COUNT)
         sent[router to number] = SentPrompt(now, isFatal, prompt)
         routers[router].run(listOf(RequestArrived(number, head)))
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -15,6 +15,7 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.RouteId
+import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Tick
@@ -145,9 +146,11 @@
         deadlineMillis: Long = 4_000,
         prompt: PromptShape? = null,
         key: ApiKeyDigest? = KEY,
+        digest: RequestDigest? = null,
     ): RequestNumber {
         val number = RequestNumber(nextNumber++)
-        val head = RequestHead("call-${number.value}", "desk.example", path, key, deadlineMillis, prompt)
+        val ownDigest = digest ?: RequestDigest("digest-${number.value}")
+        val head = RequestHead("call-${number.value}", "desk.example", path, key, deadlineMillis, prompt, ownDigest)
         post(RequestArrived(number, head))
         return number
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -130,6 +130,7 @@
             fields.key,
             fields.deadlineMillis,
             fields.prompt,
+            request.digest(),
         )
         post(RequestArrived(number, head))
         return exchange
