Quarantine requests that crash the upstreams that run them

Symptom: one request that comes again with the same path, caller and body crashes upstream after upstream, on engine routes and on plain ones.

Cause: the evidence on crashes knows prompt parts that requests share. The last part is specific to a request and no candidate, and a plain request has no parts, so nothing relates a crash to a request that is repeated.

Change: routers record which requests an upstream lost without an answer, by the digest of their content, and report them to the leader. An answer ends the quarantine. Requests that were lost in crashes of a request with three are cleared, and these crashes accuse no prompt part. A request that was answered lately is common; crashes of upstreams within 100 ms count once for it. For one that was never answered they all count, but a first probe is due after 10 s. Quarantines are in the replicated state, as a field of an existing command, because a replica of an earlier release cannot read an unknown one.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
@@ -17,10 +17,17 @@
 @SerialName("publish")
 data class PublishConfiguration(val configuration: PublishedConfiguration) : CoordinationCommand
 
-/** Starts sessions, then moves tokens between budgets and sessions. */
+/**
+ * Starts sessions, then moves tokens between budgets and sessions, and puts [quarantines] in force or ends them. The
+ * latter have no command of their own, since a replica of an earlier release cannot read an unknown command.
+ */
 @Serializable
 @SerialName("allowances")
-data class MoveAllowances(val sessions: List<SessionStart>, val moves: List<AllowanceMove>) : CoordinationCommand
+data class MoveAllowances(
+    val sessions: List<SessionStart>,
+    val moves: List<AllowanceMove>,
+    val quarantines: List<LoggedRequestQuarantine> = emptyList(),
+) : CoordinationCommand
 
 /** A new [session] of [router]. It proves that the previous session has ended. */
 @Serializable
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -7,6 +7,7 @@
 import org.ibismoor.consensus.api.ConsensusMessage
 import org.ibismoor.consensus.api.ConsensusRecord
 import org.ibismoor.core.api.ReplicaId
+import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
 
 sealed interface CoordinationEffect
@@ -66,4 +67,10 @@
 data class NotifyPromptPart(val part: String, val belief: PartBelief, val moments: Int, val failedProbes: Int) :
     CoordinationEffect
 
+/** The leader's belief about a request has changed, after [crashes] crashes of upstreams that ran it. */
+data class NotifyRequestQuarantine(val digest: RequestDigest, val belief: RequestBelief, val crashes: Int) :
+    CoordinationEffect
+
+enum class RequestBelief { SUSPECTED, QUARANTINED, RELEASED }
+
 enum class PartBelief { SUSPECTED, QUARANTINED, RELEASED }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.serialization.Serializable
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Table
@@ -16,4 +17,6 @@
     /** The current session of each router. */
     val sessions: Table<RouterId, SessionId> = persistentHashMapOf(),
     val budgets: Table<OrganisationId, BudgetRow> = persistentHashMapOf(),
+    /** Requests that crash upstreams, with the number of their crashes. */
+    val requestQuarantines: Table<RequestDigest, Int> = persistentHashMapOf(),
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -36,6 +36,7 @@
     val upstreams: UpstreamList? = null,
     /** Rebuilt from reports after an election. */
     val quarantine: QuarantineTables = QuarantineTables(),
+    val requestQuarantine: RequestQuarantineTables = RequestQuarantineTables(),
     val lastContactAt: PersistentMap<ReplicaId, Timestamp> = persistentHashMapOf(),
     val join: JoinRow = JoinRow(),
     /** Replicas that are not members, with the time of their last join request; kept at the leader only. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashEvidence.kt
@@ -16,7 +16,7 @@
 import kotlin.math.abs
 
 /** Losses at one engine within this time belong to one crash, as routers notice and report it at different times. */
-private const val CRASH_SPAN_MILLIS = 2_500L
+internal const val CRASH_SPAN_MILLIS = 2_500L
 
 private const val EVIDENCE_LIFETIME_MILLIS = 30_000L
 private const val MAXIMUM_CRASHES = 64
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashMoments.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CrashMoments.kt
@@ -8,7 +8,7 @@
 import kotlin.math.abs
 
 /** Crashes of several engines within this time count as one moment. */
-private const val MOMENT_MILLIS = 100L
+internal const val MOMENT_MILLIS = 100L
 
 /** More crashes in one moment have a cause of their own, such as a loss of power. */
 internal const val MAXIMUM_CRASHES_AT_ONCE = 2
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
@@ -23,4 +23,6 @@
     val allowances: List<AllowanceUpdate> = emptyList(),
     /** Null if the leader has nothing to say on prompt parts. */
     val prompts: QuarantineUpdate? = null,
+    /** Null if the leader has nothing to say on requests that crash upstreams. */
+    val requests: RequestQuarantineUpdate? = null,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
@@ -26,4 +26,6 @@
     val isFetchingConfigurations: Boolean = false,
     /** Null if the router has nothing to report on prompt parts. */
     val prompts: PromptEvidence? = null,
+    /** Null if the router has nothing to report on requests that crash upstreams. */
+    val requests: RequestEvidence? = null,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -35,6 +35,7 @@
             routers,
             FleetViewSystem(settings),
             UpstreamListSystem(),
+            RequestQuarantineSystem(codec, settings),
             QuarantineSystem(settings),
             ReportSystem(codec, settings),
             PublicationSystem(codec, settings),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/QuarantineSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/QuarantineSystem.kt
@@ -62,7 +62,8 @@
             val withEvidence = report.prompts?.let { table.withReport(report.router, it, now) } ?: table
             withEvidence.withProbeTurn(report.router, now)
         }
-        val after = updated.withSuspects(now).withCulprit(now).withNeverBegun(now)
+        val explained = updated.copy(evidence = tables.requestQuarantine.explainCrashes(updated.evidence))
+        val after = explained.withSuspects(now).withCulprit(now).withNeverBegun(now)
         return CoordinationStep(tables.withQuarantine(after), notifications(before, after))
     }
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -19,6 +19,7 @@
 /** Answers reports of one tick on the same [tables]. */
 internal class ReportAnswers(private val tables: CoordinationTables, private val settings: CoordinationSettings) {
     private val allowances by lazy { AllowanceUpdates(tables, settings) }
+    private val requests = RequestQuarantineAnswers(tables)
 
     fun answer(report: RouterReport): ReportAnswer {
         val configuration = tables.state.configuration
@@ -34,6 +35,7 @@
             routers = listedRouters(tables, settings),
             allowances = allowances.updatesFor(report),
             prompts = tables.quarantineUpdate(report),
+            requests = requests.updateFor(report),
         )
     }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -73,12 +73,6 @@
         )
     }
 
-    /** A new leader may not have applied a configuration or budget that the earlier one has confirmed. */
-    private fun hasAppliedEarlierTerms(tables: CoordinationTables): Boolean {
-        val firstIndex = tables.consensus.status().firstIndexOfTerm
-        return firstIndex != null && tables.appliedIndex >= firstIndex
-    }
-
     private fun AllowancePlan.withReport(message: ReportReceived, isStateComplete: Boolean): AllowancePlan {
         val report = message.report
         val start = SessionStart(report.router, report.session).takeIf { state.sessions[it.router] != it.session }
@@ -127,3 +121,9 @@
         val immediate: List<ReportReceived> = emptyList(),
     )
 }
+
+/** A new leader may not have applied a configuration, budget or quarantine that the earlier one has confirmed. */
+internal fun hasAppliedEarlierTerms(tables: CoordinationTables): Boolean {
+    val firstIndex = tables.consensus.status().firstIndexOfTerm
+    return firstIndex != null && tables.appliedIndex >= firstIndex
+}
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.coordination.api.BudgetRow
 import org.ibismoor.coordination.api.CoordinationCommand
 import org.ibismoor.coordination.api.CoordinationState
+import org.ibismoor.coordination.api.LoggedRequestQuarantine
 import org.ibismoor.coordination.api.MoveAllowances
 import org.ibismoor.coordination.api.PublishConfiguration
 import org.ibismoor.coordination.api.PublishedConfiguration
@@ -17,11 +18,28 @@
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.SessionId
 
+private const val MAXIMUM_LOGGED_QUARANTINES = 256
+
 internal fun applyCommand(state: CoordinationState, command: CoordinationCommand): CoordinationState =
     when (command) {
         is PublishConfiguration -> publishConfiguration(state, command.configuration)
-        is MoveAllowances -> command.moves.fold(command.sessions.fold(state, ::startSession), ::moveTokens)
+        is MoveAllowances -> {
+            val moved = command.moves.fold(command.sessions.fold(state, ::startSession), ::moveTokens)
+            command.quarantines.fold(moved, ::changeQuarantine)
+        }
+    }
+
+/** The leader ends quarantines before it exceeds the limit; two leaders in a row may exceed it together. */
+private fun changeQuarantine(state: CoordinationState, quarantine: LoggedRequestQuarantine): CoordinationState {
+    val table = state.requestQuarantines
+    val next = when {
+        quarantine.crashes == 0 -> table.remove(quarantine.digest)
+        quarantine.digest in table || table.size < MAXIMUM_LOGGED_QUARANTINES ->
+            table.put(quarantine.digest, quarantine.crashes)
+        else -> table
     }
+    return state.copy(requestQuarantines = next)
+}
 
 /** Of two configurations with the same version, the first one in the log is in force. */
 private fun publishConfiguration(state: CoordinationState, configuration: PublishedConfiguration): CoordinationState =
--- a/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
+++ b/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
@@ -26,6 +26,7 @@
     QUEUE_DEADLINE("queue_deadline"),
     NO_UPSTREAM("no_upstream"),
     PROMPT_QUARANTINED("prompt_quarantined"),
+    REQUEST_QUARANTINED("request_quarantined"),
     RETRY_BUDGET_EXHAUSTED("retry_budget_exhausted"),
     UPSTREAM_FAILED("upstream_failed"),
     UPSTREAM_TIMEOUT("upstream_timeout"),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -32,6 +32,7 @@
     /** Requests that wait for an upstream or for tokens. */
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
     val prompts: PromptTables = PromptTables(),
+    val crashedRequests: CrashedRequestTables = CrashedRequestTables(),
 ) {
     val isDraining: Boolean get() = drainStartedAt != null
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -174,7 +174,7 @@
             deliveredEvents = result.events,
         )
         val isContinuable =
-            if (executedRequest.isAnswerStarted) result.isResumable else !tables.prompts.hasSuspectPart(request)
+            if (executedRequest.isAnswerStarted) result.isResumable else !tables.isSuspect(request)
         val canContinue = request.route.kind.isRetryable && isContinuable
         return when {
             canContinue && tables.canRetry(executedRequest, now, settings) -> retryRequest(tables, executedRequest, now)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/CrashEvidenceSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/CrashEvidenceSystem.kt
@@ -47,7 +47,9 @@
 private const val REFUTATION_DELAY_MILLIS = 500L
 
 /** Losses of one crash arrive within this time and share one report. */
-private const val REPORT_DELAY_MILLIS = 50L
+internal const val REPORT_DELAY_MILLIS = 50L
+
+internal fun AnswerLost.isUnbegunCrash() = events == 0 && !isAnswerStarted && cause in CRASH_CAUSES
 
 internal class CrashEvidenceSystem(private val settings: ForwardingSettings) : ForwardingSystem {
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep =
@@ -70,8 +72,6 @@
         }
     }
 
-    private fun AnswerLost.isUnbegunCrash() = events == 0 && !isAnswerStarted && cause in CRASH_CAUSES
-
     private fun recordBegin(tables: ForwardingTables, sent: SentPrompt?, now: Timestamp): ForwardingStep {
         if (sent == null) return ForwardingStep(tables)
         val (request, phase, parts) = sent
@@ -145,6 +145,10 @@
 internal fun PromptTables.hasSuspectPart(request: RequestRow): Boolean =
     request.sharedParts().any { it in suspects || it in quarantines || evidence.isSuspect(it) }
 
+/** True if [request] or a part of it may have crashed more than one upstream. */
+internal fun ForwardingTables.isSuspect(request: RequestRow): Boolean =
+    prompts.hasSuspectPart(request) || crashedRequests.isSuspect(request.head.digest)
+
 /** The router's evidence for its report; null if there is none. */
 internal fun promptEvidence(prompts: PromptTables, router: RouterId, now: Timestamp): PromptEvidence? {
     val evidence = PromptEvidence(
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -84,6 +84,7 @@
             usage = usage,
             isFetchingConfigurations = true,
             prompts = promptEvidence(tables.prompts, settings.router, now),
+            requests = requestEvidence(tables.crashedRequests, now),
         )
         val fleet = tablesWithDemand.fleet.copy(isReporting = true, lastReportAt = now)
         val effect = SendReport(fleet.controlHosts.first(), report)
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -14,8 +14,8 @@
 import org.ibismoor.core.api.ApiKeyDigest
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
-import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.RequestDigest
+import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.core.api.Tick
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -30,6 +30,7 @@
         registerGauge("ibismoor_voters") { tables().consensus.status().members.count { it.isVoter } }
         registerGauge("ibismoor_log_index") { tables().appliedIndex }
         registerGauge("ibismoor_quarantined_parts") { tables().quarantine.quarantines.size }
+        registerGauge("ibismoor_quarantined_requests") { tables().requestQuarantine.quarantines.size }
     }
 
     fun recordSync(nanos: Long) = syncs.record(Duration.ofNanos(nanos))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -20,6 +20,7 @@
 import org.ibismoor.coordination.api.NotifyLeadershipChange
 import org.ibismoor.coordination.api.NotifyMembershipChange
 import org.ibismoor.coordination.api.NotifyPromptPart
+import org.ibismoor.coordination.api.NotifyRequestQuarantine
 import org.ibismoor.coordination.api.NotifyRouterListChange
 import org.ibismoor.coordination.api.NotifySessionStart
 import org.ibismoor.coordination.api.OperatorAnswer
@@ -233,6 +234,12 @@
                     "moments" to effect.moments,
                     "failed_probes" to effect.failedProbes,
                 )
+            is NotifyRequestQuarantine ->
+                log.write(
+                    "request_" + effect.belief.name.lowercase(),
+                    "request" to effect.digest,
+                    "crashes" to effect.crashes,
+                )
             else -> Unit
         }
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -33,6 +33,7 @@
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
+        registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
 
     fun countRefusal(reason: RefusalReason, outcome: Outcome) = countRefusal(reason.code, outcome.text)
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RequestDigestTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RequestDigestTest.kt
@@ -14,8 +14,8 @@
 class RequestDigestTest : StringSpec({
     "a repetition with another call identifier and deadline has the same digest" {
         // Guards against a request that escapes its quarantine because each repetition has headers of its own.
-        val first = request(callId = "call-1", deadlineMillis = 4_000)
-        val second = request(callId = "call-2", deadlineMillis = 1_000)
+        val first = request(fields = fields("call-1", deadlineMillis = 4_000))
+        val second = request(fields = fields("call-2", deadlineMillis = 1_000))
         second.digest() shouldBe first.digest()
         first.digest().text shouldMatch "[0-9a-f]{32}"
     }
@@ -28,8 +28,8 @@
             request(uri = "/status/1?day=2"),
             request(uri = "/status/2"),
             request(method = HttpMethod.POST),
-            request(key = null),
-            request(key = ApiKeyDigest("other")),
+            request(fields = fields(key = null)),
+            request(fields = fields(key = ApiKeyDigest("other"))),
             request(body = "other"),
             request(body = ""),
         )
@@ -39,24 +39,21 @@
     "text that moves from one field to the next changes the digest" {
         // Guards against fields that are joined without a boundary.
         request(host = "desk", uri = "/a").digest() shouldNotBe request(host = "desk/", uri = "a").digest()
-        request(key = ApiKeyDigest("k"), body = "ey").digest() shouldNotBe
-            request(key = ApiKeyDigest("ke"), body = "y").digest()
+        request(fields = fields(key = ApiKeyDigest("k")), body = "ey").digest() shouldNotBe
+            request(fields = fields(key = ApiKeyDigest("ke")), body = "y").digest()
     }
 })
 
-private fun request(
+private fun fields(
     callId: String = "call",
     deadlineMillis: Long? = 4_000,
+    key: ApiKeyDigest? = ApiKeyDigest("key"),
+) = RequestFields(callId, key, deadlineMillis, prompt = null, lastEventId = null)
+
+private fun request(
     host: String = "desk.example",
     uri: String = "/status/1",
     method: HttpMethod = HttpMethod.GET,
-    key: ApiKeyDigest? = ApiKeyDigest("key"),
+    fields: RequestFields = fields(),
     body: String = "body",
-) = ReceivedRequest(
-    method = method,
-    uri = uri,
-    host = host,
-    headers = DefaultHttpHeaders(),
-    fields = RequestFields(callId, key, deadlineMillis, prompt = null, lastEventId = null),
-    body = body.encodeToByteArray(),
-)
+) = ReceivedRequest(method, uri, host, DefaultHttpHeaders(), fields, body.encodeToByteArray())
