Wait for a decision longer than the longest deadline of a request

Symptom: a request of a route with a deadline above 30 min that waits for an upstream would be refused with internal_error after 30 min, and the control state would still send it to an upstream later.

Cause: the traffic thread waited 30 min for a decision, in the belief that no deadline is longer; a route may declare up to 1 h.

Change: it waits 2 h, which applies only if the control thread has ended.

--- a/router/src/main/kotlin/org/ibismoor/router/internal/StreamExchange.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/StreamExchange.kt
@@ -12,8 +12,11 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
-/** Exceeds every deadline of the control state and applies only if the control thread has terminated. */
-private const val DECISION_TIMEOUT_MINUTES = 30L
+/**
+ * Exceeds the longest deadline of a request (1 h, the limit of `deadline_ms` of a route) and the time for its charge.
+ * It applies only if the control thread has terminated.
+ */
+internal const val DECISION_TIMEOUT_MILLIS = 2 * 60 * 60 * 1_000L
 
 internal class StreamExchange(
     val id: StreamId,
@@ -36,7 +39,8 @@
 
     /** Waits for the next decision; a refusal with an internal error if none arrives in time. */
     fun awaitDecision(): StreamDecision =
-        decisions.poll(DECISION_TIMEOUT_MINUTES, TimeUnit.MINUTES) ?: StreamDecision.SendRefusal(internalErrorRefusal())
+        decisions.poll(DECISION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            ?: StreamDecision.SendRefusal(internalErrorRefusal())
 
     /** Sets the action of [cancel] and runs it immediately if the current attempt was already cancelled. */
     @Synchronized
