Test that no limit of the server for its callers ends a silent answer

The limits for headers, bodies and idle connections concern what a caller sends. With limits of 200 ms, an answer that is silent for 1.5 s before its head and again in the middle ends whole, twice on one connection. No fault was found here.

--- a/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
+++ b/transport/src/test/kotlin/org/ibismoor/transport/ServerTest.kt
@@ -24,6 +24,8 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
+private const val SILENCE_MILLIS = 1_500L
+
 /** A body of the elements of [parts]; an empty element ends it, and "broken" makes reading fail. */
 private class QueueBody(val parts: LinkedBlockingQueue<String>) : InputStream() {
     override fun read(): Int = throw UnsupportedOperationException()
@@ -99,6 +101,31 @@
         }
     }
 
+    "an answer that is silent for longer than every time limit of the server for its caller is not ended" {
+        // Guards against a limit for headers, bodies or idle connections that also runs while an answer is awaited.
+        val short = HttpLimits(headerTimeoutMillis = 200, bodyTimeoutMillis = 200, idleTimeoutMillis = 200)
+        val parts = LinkedBlockingQueue<String>()
+        val handler = CallerHandler { _, _ ->
+            TimeUnit.MILLISECONDS.sleep(SILENCE_MILLIS)
+            Response(Status.OK).body(Body(QueueBody(parts)))
+        }
+        val server = createServer(ServerSettings("127.0.0.1", 0, short), handler).start()
+        try {
+            repeat(2) {
+                val request = Request.Builder().url(server.url("/")).post("body".toRequestBody()).build()
+                parts += "first"
+                client.newCall(request).execute().use { response ->
+                    response.body!!.source().readUtf8(5) shouldBe "first"
+                    TimeUnit.MILLISECONDS.sleep(SILENCE_MILLIS)
+                    parts += listOf("second", "")
+                    response.body!!.source().readUtf8() shouldBe "second"
+                }
+            }
+        } finally {
+            server.stop()
+        }
+    }
+
     "many requests on one connection, pipelined or not, each get their own answer" {
         withServer({ request, _ -> Response(Status.OK).body(Body(request.body.stream)) }) { server ->
             repeat(500) {
