Count crashes under silent attempts, and do not send a suspect beside one

Symptom: a deadly request whose upstream is slow to begin it is also sent to a second one, and the crash of the first is not counted, so it takes more upstreams until it is refused.

Cause: the evidence looked at the last attempt only, since a request had one attempt at a time before.

Change: an attempt that is silent counts like the last one, for requests and for prompt parts, and a request that is a suspect goes to no second upstream.

Result: the new case of RequestQuarantineTest failed before (no crash was reported) and passes.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/CrashEvidenceSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/CrashEvidenceSystem.kt
@@ -119,7 +119,7 @@
     /** The request and its [attempt] that is in flight; null if there is none, or if it shares no part with others. */
     private fun sentPrompt(tables: ForwardingTables, number: RequestNumber, attempt: Int): SentPrompt? {
         val request = tables.requests[number]
-        val phase = (request?.phase as? AwaitingAnswer)?.takeIf { it.attempt == attempt }
+        val phase = request?.inFlightAttempt(attempt)
         val parts = request?.sharedParts().orEmpty()
         return if (request == null || phase == null || parts.isEmpty()) null else SentPrompt(request, phase, parts)
     }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/RequestCrashSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/RequestCrashSystem.kt
@@ -20,7 +20,6 @@
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptEnded
-import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.CrashedRequestTables
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
@@ -64,7 +63,7 @@
         val result = message.result
         return when {
             result is Delivered || result is AnsweredFailure -> recordAnswer(tables, request, now)
-            result is AnswerLost && result.isUnbegunCrash() -> recordLoss(tables, request, now)
+            result is AnswerLost && result.isUnbegunCrash() -> recordLoss(tables, request, message.attempt, now)
             else -> ForwardingStep(tables)
         }
     }
@@ -80,9 +79,13 @@
         return ForwardingStep(tables.copy(crashedRequests = next))
     }
 
-    private fun recordLoss(tables: ForwardingTables, request: RequestRow?, now: Timestamp): ForwardingStep {
-        val phase = request?.phase as? AwaitingAnswer
-        val address = phase?.let { tables.upstreams[it.upstream]?.entry?.address }
+    private fun recordLoss(
+        tables: ForwardingTables,
+        request: RequestRow?,
+        attempt: Int,
+        now: Timestamp,
+    ): ForwardingStep {
+        val address = request?.inFlightAttempt(attempt)?.let { tables.upstreams[it.upstream]?.entry?.address }
         if (request == null || address == null || request.isAnswerStarted) return ForwardingStep(tables)
         val digest = request.head.digest
         val crashed = tables.crashedRequests
@@ -105,7 +108,7 @@
     }
 
     private fun sentRequest(tables: ForwardingTables, number: RequestNumber, attempt: Int): RequestRow? =
-        tables.requests[number]?.takeIf { (it.phase as? AwaitingAnswer)?.attempt == attempt }
+        tables.requests[number]?.takeIf { it.inFlightAttempt(attempt) != null }
 }
 
 private fun ForwardingTables.withReportSoon(now: Timestamp): ForwardingTables =
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
@@ -24,6 +24,10 @@
         waiting = waiting.remove(request.number),
     )
 
+/** Attempt number [attempt] of the request if it is in flight, silent or not. */
+internal fun RequestRow.inFlightAttempt(attempt: Int): AwaitingAnswer? =
+    listOfNotNull(phase as? AwaitingAnswer, silent?.phase).firstOrNull { it.attempt == attempt }
+
 /** Removes [request] from the counts of the upstreams that have it. */
 internal fun ForwardingTables.withoutInFlight(request: RequestRow): ForwardingTables =
     withoutInFlight(request.phase).withoutInFlight(request.silent?.phase)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
@@ -38,7 +38,7 @@
         if (request == null || phase == null || request.silent != null) return ForwardingStep(tables)
         val healthStep = recordSilence(tables, request, phase, now)
         val canMove = message.isResumable && request.route.kind.isRetryable &&
-            !tables.prompts.hasSuspectPart(request) && tables.canRetry(request, now, settings)
+            !tables.isSuspect(request) && tables.canRetry(request, now, settings)
         val silentPhase = phase.copy(wasSilent = true)
         val next = if (canMove) {
             val silent = SilentAttempt(silentPhase, message.silence)
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RequestQuarantineTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RequestQuarantineTest.kt
@@ -17,6 +17,8 @@
 import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
+import org.ibismoor.forwarding.api.AttemptEnded
+import org.ibismoor.forwarding.api.AttemptSilent
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.RequestNumber
@@ -58,6 +60,21 @@
         router.lastEvidence()?.crashes?.map { it.isRepeat } shouldBe listOf(false, true)
     }
 
+    "a crash under a silent attempt is reported, and a suspect is not sent beside a silent attempt" {
+        // Guards against a deadly request that reaches two upstreams since the first one is slow to begin it.
+        val router = RouterHarness().start()
+        val number = router.sendDeadly()
+        router.post(AttemptSilent(number, attempt = 1, silence = 1, isResumable = true))
+        router.attemptsOf(number) shouldHaveSize 2
+        router.post(AttemptEnded(number, attempt = 1, CRASHED))
+        router.advance(200)
+        router.lastEvidence()?.crashes?.map { it.digest } shouldBe listOf(DEADLY)
+        router.answer(RequestQuarantineUpdate(suspects = listOf(DEADLY)))
+        val suspect = router.sendDeadly()
+        router.post(AttemptSilent(suspect, attempt = 1, silence = 1, isResumable = true))
+        router.attemptsOf(suspect) shouldHaveSize 1
+    }
+
     "a request that crashed an upstream at another router is not repeated after a crash" {
         // Guards against two lost upstreams for each retry of a deadly request.
         val router = RouterHarness().start()
