Keep a silent attempt while the other connection is being opened

Symptom: an answer ends although its silent upstream would have gone on, if the other upstream takes no connection (a VM that is cut off).

Cause: both times are 300 ms, and that of the overlap starts first. The silent attempt was given up just before the connection to its replacement failed.

Change: the overlap ends only if the later attempt has a connection. A timer of an earlier replacement no longer ends the silent attempt.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/PendingCall.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/PendingCall.kt
@@ -9,6 +9,9 @@
     var isEnded: Boolean = false
         private set
 
+    /** True once the call has a connection and was written to it. */
+    val isSent: Boolean get() = connection != null
+
     /** Sends the call, or fails if its request line or its header fields cannot be written. */
     fun sendOn(connection: ClientConnection) {
         this.connection = connection
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -60,6 +60,9 @@
 
     val number: Int get() = effect.attempt
 
+    /** False while its connection is being opened. */
+    val isSent: Boolean get() = call?.isSent == true
+
     /** True from a report of its silence until the upstream goes on. */
     var isSilent: Boolean = false
         private set
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -80,20 +80,37 @@
     private fun startAttempt(effect: SendAttempt) {
         val current = attempt
         if (isEnded || current != null && !isStillSilent(current, effect)) return
-        if (current == null) dropPartialEvent() else keepSilent(current)
+        if (current == null) dropPartialEvent()
         val lastEventId = if (isScanning) scanner.lastEventId else request.fields.lastEventId
         lastUpstream = effect.upstream.id
-        attempt = Attempt(this, effect, environment).also { it.start(lastEventId.takeIf { isAnswerStarted }) }
+        val next = Attempt(this, effect, environment)
+        attempt = next
+        if (current != null) keepSilent(current, next)
+        next.start(lastEventId.takeIf { isAnswerStarted })
     }
 
     /** False if [current] has gone on since the silence for which the control thread has decided on [effect]. */
     private fun isStillSilent(current: Attempt, effect: SendAttempt): Boolean =
         current.isSilent && effect.silence == silences
 
-    /** Two upstreams work on the request only for a short time; one that refuses it does so at once. */
-    private fun keepSilent(silent: Attempt) {
+    private fun keepSilent(silent: Attempt, later: Attempt) {
         silentAttempt = silent
-        environment.eventLoop.schedule({ endSilent(silent) }, SILENT_OVERLAP_MILLIS, TimeUnit.MILLISECONDS)
+        limitOverlap(silent, later)
+    }
+
+    /**
+     * Two upstreams work on the request only for a short time; one that refuses it does so at once. While the
+     * connection of [later] is being opened only the silent upstream has the request.
+     */
+    private fun limitOverlap(silent: Attempt, later: Attempt) {
+        val end = Runnable {
+            when {
+                later !== attempt -> Unit
+                later.isSent -> endSilent(silent)
+                else -> limitOverlap(silent, later)
+            }
+        }
+        environment.eventLoop.schedule(end, SILENT_OVERLAP_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private fun endSilent(silent: Attempt) {
