--- a/gateway/src/test/kotlin/org/ibismoor/gateway/SilentOverlapTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/SilentOverlapTest.kt
@@ -78,6 +78,24 @@
         }
     }
 
+    "a silence that goes on does not outdate the decision to send the request elsewhere" {
+        // Guards against a request that waits until its deadline for an attempt that was never sent, since the control
+        // thread decided on it only after the silence was reported again.
+        RawUpstream(mute).use { upstream ->
+            RawUpstream { request, output, _ -> output.write(plainAnswer(request, "done")) }.use { other ->
+                ExchangeFixture().use { fixture ->
+                    val exchange = fixture.exchange()
+                    fixture.run { exchange.send(attemptAt(upstream.address, silenceMillis = SILENCE_MILLIS)) }
+                    waitUntil { fixture.silences.size >= 2 }
+                    val first = fixture.silences.first().silence
+                    fixture.run { exchange.send(attemptAt(other.address, attempt = 2, silence = first)) }
+                    waitUntil { other.requests.isNotEmpty() }
+                    waitUntil { fixture.ends.any { it.attempt == 2 } }
+                }
+            }
+        }
+    }
+
     "a silence that has ended outdates the decision to send the request elsewhere" {
         // Guards against two upstreams that work on one stream, since the decision was made for an earlier silence.
         val mayGoOn = CountDownLatch(1)
