Send the request elsewhere for a silence that was reported again

Symptom: a request waits until its deadline for an attempt that was never sent, if the silent upstream fails.

Cause: each report of one silence had a new number. If the control thread or the effect came later than the next report (500 ms), the number of its decision was outdated, so the effect was dropped without a message, and the control thread counted on the attempt.

Change: one silence keeps its number until the upstream goes on.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -115,8 +115,9 @@
         if (isReadingPaused) {
             scheduleSilenceCheck(limitMillis, limitMillis)
         } else if (idleMillis >= limitMillis) {
+            val isNew = !isSilent
             isSilent = true
-            exchange.reportSilence(this)
+            exchange.reportSilence(this, isNew)
             scheduleSilenceCheck(limitMillis, limitMillis)
         } else {
             scheduleSilenceCheck(limitMillis - idleMillis, limitMillis)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -48,7 +48,7 @@
     /** A silent attempt that goes on beside [attempt], until either of them has an answer. */
     private var silentAttempt: Attempt? = null
 
-    /** Reports of silent attempts so far. */
+    /** Silences so far. One that goes on is reported several times with the same number. */
     private var silences = 0
     private var failedAnswer: BufferedAnswer? = null
     private val scanner by lazy { EventScanner(environment.allocator, request.fields.lastEventId) }
@@ -125,10 +125,10 @@
         if (isScanning) scanner.dropPartialEvent()
     }
 
-    /** Reports that [silent] has received nothing for too long. */
-    internal fun reportSilence(silent: Attempt) {
+    /** Reports that [silent] has received nothing for too long, once more unless [isNew]. */
+    internal fun reportSilence(silent: Attempt, isNew: Boolean) {
+        if (isNew) silences++
         if (silent !== attempt || silentAttempt != null) return
-        silences++
         val isResumable = !isAnswerStarted || hasEventId
         environment.post(AttemptSilent(number, silent.number, silences, isResumable))
     }
