--- a/gateway/src/test/kotlin/org/ibismoor/gateway/SilentUpstreamTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/SilentUpstreamTest.kt
@@ -14,6 +14,9 @@
 
 /** Longer than a router waits for the next event, or for an answer, before it tries another upstream. */
 private const val SILENCE_MILLIS = 1_700L
+
+/** The time of the other upstream's answer, so that the silent one goes on first. */
+private const val ANSWER_MILLIS = 200L
 private const val HEAD = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n"
 
 /** Together more than the buffers of all connections between an upstream and its caller hold. */
@@ -103,6 +106,28 @@
         }
     }
 
+    listOf("503 Busy" to "Not-Run: 1", "500 Failed" to "Mark: m").forEach { (status, field) ->
+        // Guards against a caller that gets the refusal or failure of the upstream that was silent, since it ends the
+        // attempt at the other one, which would have answered. Only a success has a body that goes on.
+        "an idempotent request is answered by the other upstream if the silent one ends with $status and a body" {
+            val requests = AtomicInteger()
+            val answer = RawAnswer { request, output, _ ->
+                if (requests.getAndIncrement() == 0) {
+                    waitUntil { requests.get() == 2 }
+                    output.writeNow(
+                        "HTTP/1.1 $status\r\nCall-Id: c1\r\n$field\r\nContent-Length: 4\r\n\r\nbusy",
+                    )
+                } else {
+                    TimeUnit.MILLISECONDS.sleep(ANSWER_MILLIS)
+                    output.write(plainAnswer(request, "done"))
+                }
+            }
+            RouterFixture(answer, answer).use { fixture ->
+                fixture.exchange(request("POST /again/1")) shouldContain "done"
+            }
+        }
+    }
+
     "a caller that does not read for a while does not make its upstream look silent" {
         // Guards against a second attempt, and a stream that changes its upstream, since the caller is slow.
         val event = "data: ${"x".repeat(EVENT_BYTES)}\n\n"
