Do not let a silent upstream's refusal end the other attempt

Symptom: the caller gets the refusal or failure of the upstream that was silent, and work at the other one is in vain. A refusal is passed on as not run although the other upstream had begun.

Cause: the first part of any body made the silent attempt the one that has the request. Without a body the same answer left the other attempt alone.

Change: only a success goes on.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -168,8 +168,10 @@
     override fun onBody(part: ByteBuf) {
         val current = answer
         if (isEnded || current == null) return
-        if (isSilent || mode == Mode.EVENTS) exchange.choose(this)
-        if (mode != Mode.EVENTS) markReceived()
+        // A refusal or a failure with a body does not go on: the other attempt, if there is one, may still succeed.
+        val isSuccess = mode != Mode.BUFFERED || isDeliverable(current)
+        if (isSuccess && (isSilent || mode == Mode.EVENTS)) exchange.choose(this)
+        if (isSuccess && mode != Mode.EVENTS) markReceived()
         when (mode) {
             Mode.EVENTS -> forwardEvents(current, part)
             Mode.CHUNKS -> forward(part.retain())
