--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
@@ -135,4 +135,14 @@
         repeat(3) { router.silence(router.sendRequest("/review/$it", prompt = promptOf(100, 10)), isResumable = false) }
         (router.tables.upstreams.values.single().failures.ejectedUntil > router.now) shouldBe true
     }
+
+    "a request that was at two upstreams may have run although the silent one goes on and refuses it" {
+        // Guards against a refusal that promises that a request has not run, and against tokens that are not charged.
+        val router = RouterHarness().start()
+        val number = router.sendRequest("/status/1")
+        router.silence(number)
+        router.post(AttemptResumed(number, 1))
+        router.end(number, attempt = 1, NotExecuted(503, isOtherUpstream = false, load = null))
+        router.refusalOf(number)?.outcome shouldBe Outcome.MAY_HAVE_RUN
+    }
 })
