Count a request as run if its later attempt is cancelled

Symptom: a refusal states that the request has not run, and no token is charged, although the upstream of the cancelled attempt may have begun.

Cause: when the silent attempt went on, the later one was dropped without a trace in the request.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
@@ -83,6 +83,7 @@
             "attempt" to phase.attempt,
             "after_ms" to now - phase.sentAt,
         )
-        return ForwardingStep(tables.withSilentOnly(request), listOf(decision))
+        val mayHaveRun = request.mayHaveRun || request.phase is AwaitingAnswer
+        return ForwardingStep(tables.withSilentOnly(request.copy(mayHaveRun = mayHaveRun)), listOf(decision))
     }
 }
