--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -107,8 +107,11 @@
     private fun routers(count: Int): List<RouterEntry> =
         List(count) { RouterEntry("10.0.1.$it:80", FailureDomainId("north")) } + settings.entry
 
-    fun post(message: ForwardingMessage) {
-        val step = machine.run(tables, Tick(now, WallTime(now.millis), listOf(message)))
+    fun post(message: ForwardingMessage) = postTogether(message)
+
+    /** Posts [messages] within one tick. */
+    fun postTogether(vararg messages: ForwardingMessage) {
+        val step = machine.run(tables, Tick(now, WallTime(now.millis), messages.toList()))
         tables = step.tables
         collectEffects(step.effects)
     }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
@@ -13,6 +13,7 @@
 import org.ibismoor.forwarding.api.AttemptResult
 import org.ibismoor.forwarding.api.AttemptResumed
 import org.ibismoor.forwarding.api.AttemptSilent
+import org.ibismoor.forwarding.api.CallerDisconnected
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.FirstEventArrived
 import org.ibismoor.forwarding.api.NotExecuted
@@ -145,4 +146,15 @@
         router.end(number, attempt = 1, NotExecuted(503, isOtherUpstream = false, load = null))
         router.refusalOf(number)?.outcome shouldBe Outcome.MAY_HAVE_RUN
     }
+
+    "a caller that leaves while its request is sent elsewhere is charged for its prompt" {
+        // Guards against prompts that upstreams have processed and that are not charged, since the silence and the
+        // disconnect are handled in one tick.
+        val router = RouterHarness(budget = 10_000).start()
+        val number = router.sendRequest("/chat/1", prompt = promptOf(100, 10))
+        router.advance(100)
+        router.attemptsOf(number) shouldHaveSize 1
+        router.postTogether(AttemptSilent(number, 1, silence = 1, isResumable = true), CallerDisconnected(number, 0))
+        router.tables.allowances[COUNCIL]?.settled shouldBe 100
+    }
 })
