Charge a prompt that an upstream has although its request waits

Symptom: tokens that upstreams have processed are not charged, so that an organisation may get more than its budget.

Cause: the cost of a request whose caller has left looked only at its current phase.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -208,7 +208,8 @@
 
 private fun cancelRequest(tables: ForwardingTables, message: CallerDisconnected): ForwardingStep {
     val request = tables.requests[message.number] ?: return ForwardingStep(tables)
-    val cost = tables.costOf(request.copy(mayHaveRun = request.phase is AwaitingAnswer), message.deliveredEvents)
+    val mayHaveRun = request.mayHaveRun || request.silent != null || request.phase is AwaitingAnswer
+    val cost = tables.costOf(request.copy(mayHaveRun = mayHaveRun), message.deliveredEvents)
     return ForwardingStep(
         tables.withoutRequest(request, cost),
         listOf(
