--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SilentAttemptTest.kt
@@ -157,4 +157,18 @@
         router.postTogether(AttemptSilent(number, 1, silence = 1, isResumable = true), CallerDisconnected(number, 0))
         router.tables.allowances[COUNCIL]?.settled shouldBe 100
     }
+
+    "a request whose silent attempt ends before the next one is sent stays within the retry budget" {
+        // Guards against retries that are not counted, since the silence and the loss are handled in one tick.
+        val router = RouterHarness().start()
+        repeat(400) {
+            val number = router.sendRequest("/status/$it")
+            router.postTogether(
+                AttemptSilent(number, 1, silence = 1, isResumable = true),
+                AttemptEnded(number, 1, LOST),
+            )
+        }
+        val retries = router.sentAttempts.size - 400
+        (retries in 1..(0.2 * 400 + 600.0 / 12).toInt()) shouldBe true
+    }
 })
