Count the retry of a request whose silent attempt ends before it is sent

Symptom: retries beyond the budget of a group.

Cause: a retry beside a silent attempt is counted when it is sent. If the silent attempt ends in the same tick, it no longer counted as one.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttempts.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttempts.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptResult
 import org.ibismoor.forwarding.api.AwaitingAnswer
+import org.ibismoor.forwarding.api.AwaitingUpstream
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -36,8 +37,11 @@
     val phase = request.silent?.phase ?: return ForwardingStep(tables)
     val next = tables.withoutInFlight(phase)
     val row = request.copy(silent = null).afterResult(result)
+    // The selection counts the retry of a request only while its silent attempt goes on.
+    val retries =
+        if (request.phase is AwaitingUpstream) next.retries.withRetryCounted(request.group, now) else next.retries
     return ForwardingStep(
-        next.copy(requests = next.requests.put(request.number, row)),
+        next.copy(requests = next.requests.put(request.number, row), retries = retries),
         listOf(attemptFailure(request, phase, result, now)),
     )
 }
