--- a/gateway/src/test/kotlin/org/ibismoor/gateway/ExchangeFixture.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/ExchangeFixture.kt
@@ -75,7 +75,7 @@
     }
 }
 
-private object DiscardingSink : AnswerSink {
+internal object DiscardingSink : AnswerSink {
     override fun sendAnswer(status: Int, reason: String, headers: HttpHeaders, body: ByteArray) = Unit
 
     override fun startAnswer(status: Int, reason: String, headers: HttpHeaders) = Unit
