Report a request whose fields cannot be written as not sent

Symptom: an answer, a refusal or an attempt of another request is dropped without a trace, and its caller gets neither.

Cause: a header value that cannot be written (the name of an organisation may hold a line break) threw within the effects of a tick.

Change: the attempt ends as not sent, as if its head could not be encoded. Other exceptions would still drop the effects after them.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -73,7 +73,11 @@
     fun start(lastEventId: Long?) {
         val request = exchange.request
         val headers = request.headers.copy().removeHopByHopHeaders()
-        environment.dialect.writeAttemptFields(effect.upstream, effect.terms, headers)
+        try {
+            environment.dialect.writeAttemptFields(effect.upstream, effect.terms, headers)
+        } catch (_: IllegalArgumentException) {
+            return finish(NotSent("unsendable_request"), isDelivered = false)
+        }
         if (lastEventId != null) environment.dialect.requestEventsAfter(lastEventId, headers)
         if (request.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) headers.set(HttpHeaderNames.CONTENT_LENGTH, 0)
         val attemptCall = HttpCall(effect.upstream.address, request.method, request.uri, headers, request.body)
