--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -28,7 +28,8 @@
 
 /**
  * The upstream of attempt number [attempt] has sent nothing for longer than the terms of the attempt expect. The
- * attempt goes on. [silence] counts such reports of the request. [isResumable] if another upstream can take it over.
+ * attempt goes on, and the message is repeated while it stays silent. [silence] is the number of this silence among
+ * those of the request. [isResumable] if another upstream can take the request over.
  */
 data class AttemptSilent(val number: RequestNumber, val attempt: Int, val silence: Int, val isResumable: Boolean) :
     ForwardingMessage
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -60,5 +60,5 @@
     val wasSilent: Boolean = false,
 ) : RequestPhase
 
-/** An attempt that was reported as silent for the time number [silence]. */
+/** An attempt that goes on although its upstream is silent; [silence] is the number of that silence. */
 data class SilentAttempt(val phase: AwaitingAnswer, val silence: Int)
