Log the software version of each attempt and what a caller continues

Symptom: a stream can hold events of two software versions of its upstreams, and no line of a router's log shows it: `version` in `event=request_sent` is that of the configuration.

Cause: the platform's list names the version of each instance, and the router did not read it. It did not read which call a caller continues either.

`event=request_sent` and `event=attempt_failed` have `software_version`; the former has `continues` and `first_call`, the call that brought the first event; `event=request_refused` has `continues`, so refusals to go on can be counted. No decision changes.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/UpstreamEntry.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/UpstreamEntry.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.Serializable
 import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
 
@@ -21,4 +22,5 @@
     val isLeaving: Boolean,
     /** Remaining time for which the upstream is slow after its start. */
     val coldMillis: Long,
+    val version: SoftwareVersion = SoftwareVersion.UNKNOWN,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
@@ -18,4 +18,6 @@
     val prompt: PromptShape?,
     /** Equal for requests with the same content; the call identifier and the deadline differ between repetitions. */
     val digest: RequestDigest,
+    /** Null if the caller asks for a whole answer. */
+    val continuation: StreamContinuation? = null,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
@@ -56,6 +57,8 @@
     val sentAt: Timestamp,
     /** Uncached prompt tokens that the upstream has to process before the first event. */
     val pendingPromptTokens: Long,
+    /** Software version of [upstream] when the attempt was sent. */
+    val version: SoftwareVersion,
     /** The upstream has been silent for too long during this attempt. */
     val wasSilent: Boolean = false,
 ) : RequestPhase
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -54,6 +54,7 @@
         "limit_ms" to request.dueAt - request.arrivedAt,
         "limit" to limitText(request),
         "events" to request.deliveredEvents,
+        "continues" to (request.isAnswerStarted || request.head.continuation != null),
     )
     val tokens = if (reason in TOKEN_REASONS) tokenFacts(request, allowance) else emptyList()
     val retryAfter = retryAfterMillis?.takeIf { outcome == Outcome.NOT_RUN }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -76,7 +76,7 @@
         val attempt = request.attempts + 1
         val silence = request.silent?.silence
         val sentRequest = request.copy(
-            phase = AwaitingAnswer(row.entry.id, attempt, now, uncached),
+            phase = AwaitingAnswer(row.entry.id, attempt, now, uncached, row.entry.version),
             attempts = attempt,
             triedUpstreams = request.triedUpstreams.add(row.entry.id),
         )
@@ -100,6 +100,9 @@
             "load_age_ms" to row.load?.let { now - it.reportedAt },
             "failure_rate" to row.failures.rateAt(now),
             "version" to tables.configuration?.version,
+            "software_version" to row.entry.version,
+            "continues" to (request.isAnswerStarted || request.head.continuation != null),
+            "first_call" to request.head.continuation?.firstCallId,
         )
         return ForwardingStep(
             next,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttempts.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttempts.kt
@@ -72,4 +72,5 @@
         "attempt" to phase.attempt,
         "after_ms" to now - phase.sentAt,
         "result" to resultText(result),
+        "software_version" to phase.version,
     )
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.forwarding.api.AttemptTerms
 import org.ibismoor.forwarding.api.PromptShape
 import org.ibismoor.forwarding.api.ReportedLoad
+import org.ibismoor.forwarding.api.StreamContinuation
 
 interface HttpDialect {
     /** Reads the [headers] of a caller's request; null if a field is missing, repeated or malformed. */
@@ -33,6 +34,8 @@
     val prompt: PromptShape?,
     /** Identifier of the event after which the caller resumes a stream. */
     val lastEventId: Long?,
+    /** Null if the caller does not ask for the rest of a stream. */
+    val continuation: StreamContinuation? = null,
 )
 
 /** Header fields of an upstream's answer. */
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -131,6 +131,7 @@
             fields.deadlineMillis,
             fields.prompt,
             request.digest(),
+            fields.continuation,
         )
         post(RequestArrived(number, head))
         return exchange
--- a/soak/src/main/kotlin/org/ibismoor/soak/internal/world/UpstreamListSystem.kt
+++ b/soak/src/main/kotlin/org/ibismoor/soak/internal/world/UpstreamListSystem.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.toPersistentHashMap
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.Step
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
@@ -14,6 +15,7 @@
 import org.ibismoor.soak.internal.schedule.OddEntry
 
 private const val NESTED_LEVELS = 20_000
+private val UPSTREAM_VERSION = SoftwareVersion("v1")
 
 internal class UpstreamListSystem(private val documents: PlatformDocuments) : SoakSystem {
     override fun run(tables: SoakTables, tick: Tick<SoakMessage>): SoakStep {
@@ -43,6 +45,7 @@
             slots = row.slots,
             isLeaving = row.isLeaving,
             coldMillis = 0,
+            version = UPSTREAM_VERSION,
         )
 
     private fun oddEntryText(entry: OddEntry): String =
