Test that a stream goes on only at the version that began it

Cause: neither the retry of a broken stream nor the attempt beside a silent one looks at the version. The row of an upstream also outlives a change of its version under the same identifier.

--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -18,6 +18,7 @@
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.SessionId
+import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
@@ -52,6 +53,8 @@
 internal val COUNCIL = OrganisationId("council")
 internal val OWN_ENTRY = RouterEntry("10.0.0.9:80", FailureDomainId("north"))
 internal val KEY = ApiKeyDigest("key")
+internal val FIRST_VERSION = SoftwareVersion("v1")
+internal val SECOND_VERSION = SoftwareVersion("v1.1")
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
@@ -59,6 +62,7 @@
     private val budget: Long? = null,
     session: SessionId = SessionId("a"),
     times: ForwardingTimes = ForwardingTimes(),
+    seed: Long = 1,
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -82,7 +86,7 @@
     /** Control processes answer no report. */
     var isControlUnreachable = false
 
-    var tables = initialForwarding(settings, session, seed = 1, now = now)
+    var tables = initialForwarding(settings, session, seed, now)
         private set
     val effects = mutableListOf<ForwardingEffect>()
 
@@ -99,6 +103,12 @@
         advance(1_500)
     }
 
+    /** The leader lists [entries] from now on. */
+    fun listUpstreams(entries: List<UpstreamEntry>) {
+        val list = UpstreamList(tables.fleet.upstreamRevision + 1, entries)
+        post(ReportAnswered(ReportAnswer(true, null, emptyList(), upstreams = list), null))
+    }
+
     /** The leader lists [count] other routers beside this one. */
     fun listRouters(count: Int) {
         post(ReportAnswered(ReportAnswer(true, null, emptyList(), routers = routers(count)), null))
@@ -171,7 +181,11 @@
 internal fun upstreams(): List<UpstreamEntry> =
     List(3) { upstream("engine-$it", ENGINES) } + List(3) { upstream("desk-$it", DESK) }
 
-internal fun upstream(name: String, group: UpstreamGroupId = ENGINES): UpstreamEntry =
+internal fun upstream(
+    name: String,
+    group: UpstreamGroupId = ENGINES,
+    version: SoftwareVersion = SoftwareVersion.UNKNOWN,
+): UpstreamEntry =
     UpstreamEntry(
         id = UpstreamId(name),
         group = group,
@@ -180,6 +194,7 @@
         slots = 4,
         isLeaving = false,
         coldMillis = 0,
+        version = version,
     )
 
 internal fun promptOf(input: Long, output: Long): PromptShape =
