--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SimulatedControl.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SimulatedControl.kt
@@ -19,6 +19,7 @@
 import org.ibismoor.coordination.api.SyncRecords
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.coordination.api.UpstreamList
+import org.ibismoor.coordination.api.UpstreamListReceived
 import org.ibismoor.coordination.api.bootstrapRecords
 import org.ibismoor.coordination.api.bootstrapReplica
 import org.ibismoor.coordination.api.createCoordination
@@ -29,11 +30,17 @@
 
 internal const val CONTROL_HOST = "10.0.0.1"
 
-/** Publishes [configuration] when it leads and its log has none; [clock] returns the simulated time in milliseconds. */
+private const val LIST_INTERVAL_MILLIS = 100L
+
+/**
+ * Publishes [configuration] when it leads and its log has none; [clock] returns the simulated time in milliseconds.
+ * With [readList], a leader reads the list of upstreams again and again, in place of the fixed [upstreams].
+ */
 internal class SimulatedControl(
     private val seed: Int,
     private val upstreams: List<UpstreamEntry>,
     private val configuration: PublishedConfiguration? = null,
+    private val readList: (() -> List<UpstreamEntry>)? = null,
     private val clock: () -> Long,
 ) {
     private val codec = ListCodec()
@@ -42,6 +49,7 @@
     private var tables = restore()
     private val replies = mutableMapOf<Long, (ReportAnswer?) -> Unit>()
     private var nextReply = 1L
+    private var nextReadAt = 0L
 
     /** Starts again with what its log holds; reports that wait get no answer. */
     fun restart() {
@@ -63,6 +71,13 @@
     fun runIfDue() {
         val due = machine.nextDue(tables)
         if (due != null && due.millis <= clock()) run(emptyList())
+        if (tables.leadingSince != null && clock() >= nextReadAt) readListAgain()
+    }
+
+    private fun readListAgain() {
+        val list = readList?.invoke() ?: return
+        nextReadAt = clock() + LIST_INTERVAL_MILLIS
+        run(listOf(UpstreamListReceived(list)))
     }
 
     private fun run(messages: List<CoordinationMessage>) {
@@ -82,7 +97,7 @@
     }
 
     private fun startLeading() {
-        tables = tables.copy(upstreams = UpstreamList(1, upstreams))
+        if (readList == null) tables = tables.copy(upstreams = UpstreamList(1, upstreams))
         if (configuration != null && tables.state.configuration == null) {
             run(listOf(PublicationReceived(nextReply++, configuration)))
         }
