--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamFleet.kt
@@ -39,6 +39,9 @@
 internal const val STREAM_ROUTERS = 4
 
 private const val MAXIMUM_DELAY_MILLIS = 8L
+
+/** The same for all messages, so that those of one connection keep their order. */
+private const val ANSWER_DELAY_MILLIS = 3L
 private const val RECONNECT_MILLIS = 50L
 private const val MILLIS_PER_SECOND = 1_000
 private const val PROMPT_TOKENS = 500L
@@ -60,7 +63,9 @@
     private val routers = MutableList<FleetRouter?>(STREAM_ROUTERS, ::startRouter)
     private val scheduled = mutableListOf<Scheduled>()
     private var nextNumber = 1L
-    val engines = StreamEngines(random) { name, message -> schedule { routerOf(name)?.run(listOf(message)) } }
+    val engines = StreamEngines(random) { name, message ->
+        schedule(ANSWER_DELAY_MILLIS) { routerOf(name)?.run(listOf(message)) }
+    }
     val callers = StreamCallers(random, { delay, action -> schedule(delay, action) }, { send(it) })
 
     private class Scheduled(val at: Long, val action: () -> Unit)
