Continue a stream only at the software version that began it

Cause: a retry after a lost answer and the attempt beside a silent one choose among all upstreams of the group. Nothing in the request's row says which version has written what the caller already has.

Change: the attempt keeps the version of its upstream as it was when the request was sent, the first event makes it the version of the stream, and the selection leaves out upstreams of other versions from then on. Without another upstream of the version a lost answer ends and a silent attempt stays. A row of an upstream ends when its version changes.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -38,6 +38,8 @@
     val mayHaveRun: Boolean = false,
     /** The caller has received part of the answer. */
     val isAnswerStarted: Boolean = false,
+    /** The software version that began the stream, and the only one that may go on; null before the first event. */
+    val streamVersion: SoftwareVersion? = null,
     /** When the first event of a stream arrived from an upstream. */
     val firstEventAt: Timestamp? = null,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -53,6 +53,7 @@
             phase = phase.copy(pendingPromptTokens = 0),
             mayHaveRun = true,
             isAnswerStarted = true,
+            streamVersion = request.streamVersion ?: phase.version,
             firstEventAt = request.firstEventAt ?: now,
         )
         return tables
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -171,9 +171,12 @@
     )
 }
 
-/** An upstream that was listed as leaving and no longer is has been started again under its identifier. */
+/**
+ * An upstream that was listed as leaving and no longer is, or has another software version, has been started again
+ * under its identifier.
+ */
 private fun isSameIncarnation(previous: UpstreamEntry, entry: UpstreamEntry): Boolean =
-    previous.address == entry.address && (entry.isLeaving || !previous.isLeaving)
+    previous.address == entry.address && previous.version == entry.version && (entry.isLeaving || !previous.isLeaving)
 
 /** A report in flight does not include later shortfalls, so the next report follows after a short interval. */
 private fun ForwardingTables.withReportForShortfall(intervalMillis: Long): ForwardingTables {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -3,6 +3,7 @@
  */
 package org.ibismoor.forwarding.internal
 
+import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
@@ -49,11 +50,14 @@
         }
     }
 
-    /** Ejected upstreams are used only if there are no others; leaving ones and those in a pause never. */
+    /**
+     * Ejected upstreams are used only if there are no others; leaving ones and those in a pause never, and for a stream
+     * that has begun none of another version, which would write a different text.
+     */
     private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
         val usable = tables.upstreams.values.filter {
-            it.entry.group == request.group && it.entry.id !in request.triedUpstreams && !it.isLeaving &&
-                !it.isPaused(now) && it.hasResumed(now, settings.times.resumptionMillis)
+            it.entry.group == request.group && request.mayUse(it.entry) && !it.isLeaving && !it.isPaused(now) &&
+                it.hasResumed(now, settings.times.resumptionMillis)
         }
         return usable.filterNot { it.isEjected(now) }.ifEmpty { usable }
     }
@@ -140,3 +144,6 @@
         )
     }
 }
+
+private fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
+    entry.id !in triedUpstreams && (streamVersion == null || entry.version == streamVersion)
