Record at control which software versions may have begun a stream

Cause: the fleet keeps nothing of a stream but the row of its request.

Change: the replicated state has the versions of each group that may have begun a stream which a caller can still continue, and the origins of the streams that began while there were several. A version is committed before routers learn of its upstreams, so whoever can commit knows of all that may have begun a stream; it is forgotten 60 s after it has left the list. Reports tell of begun streams and ask for the origin of others; they are answered after a commit, as a deposed leader may not know of a version. Group with one version: no records, the version is the answer.

Result: no decision of a router changes yet.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
@@ -18,8 +18,9 @@
 data class PublishConfiguration(val configuration: PublishedConfiguration) : CoordinationCommand
 
 /**
- * Starts sessions, then moves tokens between budgets and sessions, and puts [quarantines] in force or ends them. The
- * latter have no command of their own, since a replica of an earlier release cannot read an unknown command.
+ * Starts sessions, then moves tokens between budgets and sessions, puts [quarantines] in force or ends them, and
+ * changes what is known of [streams]. The latter two have no command of their own, since a replica of an earlier
+ * release cannot read an unknown command.
  */
 @Serializable
 @SerialName("allowances")
@@ -27,6 +28,7 @@
     val sessions: List<SessionStart>,
     val moves: List<AllowanceMove>,
     val quarantines: List<LoggedRequestQuarantine> = emptyList(),
+    val streams: StreamChanges? = null,
 ) : CoordinationCommand
 
 /** A new [session] of [router]. It proves that the previous session has ended. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -27,6 +27,7 @@
 private const val MAXIMUM_QUARANTINE_MILLIS = 3_600_000L
 private const val PROBE_TURN_MILLIS = 5_000L
 private const val IDLE_QUARANTINE_MILLIS = 600_000L
+private const val STREAM_RETENTION_MILLIS = 60_000L
 private const val SNAPSHOT_ENTRIES = 1_000
 private const val SNAPSHOT_CHARACTERS = 1_000_000L
 
@@ -88,6 +89,8 @@
     val probeTurnMillis: Long = PROBE_TURN_MILLIS,
     /** A quarantine whose probe has been due for this long without a request is dropped. */
     val idleQuarantineMillis: Long = IDLE_QUARANTINE_MILLIS,
+    /** A caller continues a stream no later than this after its version has left the platform's list. */
+    val streamRetentionMillis: Long = STREAM_RETENTION_MILLIS,
     /** Entries and command characters after which a snapshot replaces the log. */
     val snapshotEntries: Int = SNAPSHOT_ENTRIES,
     val snapshotCharacters: Long = SNAPSHOT_CHARACTERS,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
@@ -19,4 +19,5 @@
     val budgets: Table<OrganisationId, BudgetRow> = persistentHashMapOf(),
     /** Requests that crash upstreams, with the number of their crashes. */
     val requestQuarantines: Table<RequestDigest, Int> = persistentHashMapOf(),
+    val streams: StreamTables = StreamTables(),
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -34,6 +34,12 @@
     /** Null at a replica that does not lead. */
     val view: FleetView? = null,
     val upstreams: UpstreamList? = null,
+    /** A reading of the platform's list with software versions that are not committed yet. */
+    val heldUpstreams: List<UpstreamEntry>? = null,
+    /** Committed software versions that are not in the platform's list, with the time since which they are not. */
+    val absentVersions: PersistentMap<StreamOrigin, Timestamp> = persistentHashMapOf(),
+    /** The latest proposal that changes the committed software versions. */
+    val versionProposal: Long? = null,
     /** Rebuilt from reports after an election. */
     val quarantine: QuarantineTables = QuarantineTables(),
     val requestQuarantine: RequestQuarantineTables = RequestQuarantineTables(),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
@@ -25,4 +25,6 @@
     val prompts: QuarantineUpdate? = null,
     /** Null if the leader has nothing to say on requests that crash upstreams. */
     val requests: RequestQuarantineUpdate? = null,
+    /** An answer to each question of the report on the beginning of a stream. */
+    val streams: List<StreamAnswer> = emptyList(),
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
@@ -28,4 +28,6 @@
     val prompts: PromptEvidence? = null,
     /** Null if the router has nothing to report on requests that crash upstreams. */
     val requests: RequestEvidence? = null,
+    /** Null if the router has nothing to report or ask on the beginnings of streams. */
+    val streams: StreamEvidence? = null,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/UpstreamList.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/UpstreamList.kt
@@ -4,6 +4,12 @@
 package org.ibismoor.coordination.api
 
 import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.UpstreamGroupId
 
 @Serializable
-data class UpstreamList(val revision: Long, val upstreams: List<UpstreamEntry>)
+data class UpstreamList(
+    val revision: Long,
+    val upstreams: List<UpstreamEntry>,
+    /** Groups in which a stream can have begun at several software versions. */
+    val mixedGroups: List<UpstreamGroupId> = emptyList(),
+)
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -34,6 +34,7 @@
             LeaderAnnouncementSystem(settings),
             routers,
             FleetViewSystem(settings),
+            SoftwareVersionSystem(codec, settings),
             UpstreamListSystem(),
             RequestQuarantineSystem(codec, settings),
             QuarantineSystem(settings),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -20,6 +20,7 @@
 internal class ReportAnswers(private val tables: CoordinationTables, private val settings: CoordinationSettings) {
     private val allowances by lazy { AllowanceUpdates(tables, settings) }
     private val requests = RequestQuarantineAnswers(tables)
+    private val streams = StreamAnswers(tables.state.streams)
 
     fun answer(report: RouterReport): ReportAnswer {
         val configuration = tables.state.configuration
@@ -36,6 +37,7 @@
             allowances = allowances.updatesFor(report),
             prompts = tables.quarantineUpdate(report),
             requests = requests.updateFor(report),
+            streams = streams.answersFor(report),
         )
     }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportSystem.kt
@@ -1,7 +1,8 @@
 /**
- * Answers reports of routers. Reports that start a session or move tokens, and all reports to a leader that has not
- * applied an entry of its own term, are answered after one log entry that covers all such reports of the tick is
- * committed; the others are answered at once.
+ * Answers reports of routers. Reports that start a session, move tokens, or tell or ask of the beginnings of streams,
+ * and all reports to a leader that has not applied an entry of its own term, are answered after one log entry that
+ * covers all such reports of the tick is committed; the others are answered at once. A deposed leader may not know of a
+ * software version, and it commits nothing.
  */
 package org.ibismoor.coordination.internal
 
@@ -9,6 +10,7 @@
 import org.ibismoor.coordination.api.AllowanceMove
 import org.ibismoor.coordination.api.AllowanceUsage
 import org.ibismoor.coordination.api.AnswerReport
+import org.ibismoor.coordination.api.BegunStreams
 import org.ibismoor.coordination.api.BudgetRow
 import org.ibismoor.coordination.api.CoordinationCodec
 import org.ibismoor.coordination.api.CoordinationMessage
@@ -22,6 +24,7 @@
 import org.ibismoor.coordination.api.RouterReport
 import org.ibismoor.coordination.api.SessionAllowance
 import org.ibismoor.coordination.api.SessionStart
+import org.ibismoor.coordination.api.StreamChanges
 import org.ibismoor.core.api.Tick
 
 /** Spending alone is logged when the amount not yet in the log exceeds the budget divided by this number. */
@@ -49,7 +52,7 @@
         val exchanges = plan.deferred.map { PendingReport(it.reply, it.report) }
         val next = when {
             exchanges.isEmpty() -> tables
-            else -> proposeCommand(tables, codec.writeCommand(MoveAllowances(plan.sessions, plan.moves)), exchanges)
+            else -> proposeCommand(tables, codec.writeCommand(plan.command()), exchanges)
         }
         val starts = plan.sessions.map { sessionNotice(tables.state, it) }
         val reportAnswers = ReportAnswers(tables, settings)
@@ -78,11 +81,13 @@
         val start = SessionStart(report.router, report.session).takeIf { state.sessions[it.router] != it.session }
         val moves = report.usage.mapNotNull { moveFor(report, it) }
         return when {
-            start == null && moves.isEmpty() && isStateComplete -> copy(immediate = immediate + message)
+            start == null && moves.isEmpty() && report.streams == null && isStateComplete ->
+                copy(immediate = immediate + message)
             else -> copy(
                 state = applyCommand(state, MoveAllowances(listOfNotNull(start), moves)),
                 sessions = sessions + listOfNotNull(start),
                 moves = this.moves + moves,
+                begun = begun + report.streams?.begun.orEmpty(),
                 deferred = deferred + message,
             )
         }
@@ -116,10 +121,13 @@
         val spending: SessionSpending,
         val sessions: List<SessionStart> = emptyList(),
         val moves: List<AllowanceMove> = emptyList(),
+        val begun: List<BegunStreams> = emptyList(),
         /** Reports to answer once the planned command is committed. */
         val deferred: List<ReportReceived> = emptyList(),
         val immediate: List<ReportReceived> = emptyList(),
-    )
+    ) {
+        fun command() = MoveAllowances(sessions, moves, streams = joinedChanges(begun))
+    }
 }
 
 /** A new leader may not have applied a configuration, budget or quarantine that the earlier one has confirmed. */
@@ -127,3 +135,10 @@
     val firstIndex = tables.consensus.status().firstIndexOfTerm
     return firstIndex != null && tables.appliedIndex >= firstIndex
 }
+
+/** Null if no streams have begun. Streams with the same origin share one record. */
+private fun joinedChanges(begun: List<BegunStreams>): StreamChanges? {
+    val byOrigin = begun.groupBy({ it.origin }, { it.streams })
+    val batches = byOrigin.map { (origin, streams) -> BegunStreams(origin, streams.flatten().distinct()) }
+    return if (batches.isEmpty()) null else StreamChanges(begun = batches)
+}
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StateCommands.kt
@@ -25,7 +25,8 @@
         is PublishConfiguration -> publishConfiguration(state, command.configuration)
         is MoveAllowances -> {
             val moved = command.moves.fold(command.sessions.fold(state, ::startSession), ::moveTokens)
-            command.quarantines.fold(moved, ::changeQuarantine)
+            val quarantined = command.quarantines.fold(moved, ::changeQuarantine)
+            command.streams?.let { quarantined.copy(streams = quarantined.streams.withChanges(it)) } ?: quarantined
         }
     }
 
--- a/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
+++ b/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
@@ -25,6 +25,8 @@
     QUEUE_FULL("queue_full"),
     QUEUE_DEADLINE("queue_deadline"),
     NO_UPSTREAM("no_upstream"),
+    UNKNOWN_STREAM("unknown_stream"),
+    VERSION_GONE("version_gone"),
     PROMPT_QUARANTINED("prompt_quarantined"),
     REQUEST_QUARANTINED("request_quarantined"),
     RETRY_BUDGET_EXHAUSTED("retry_budget_exhausted"),
