Send a continued stream only to the version that began it

Cause: a continuation was a new request to the router that got it. Only the router that began the stream knew the version, and nobody after it had ended.

A continuation waits until its origin is known: from the router itself, from the leader or from another router. The leader's answer is either a record or the only version that can have begun a stream. An unknown origin is refused as not run (unknown_stream), and so is one whose version has no upstream left (version_gone). event=stream_continued says who knew; the reasons count refusals.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
+import org.ibismoor.core.api.StreamDigest
 import org.ibismoor.core.api.UpstreamId
 
 sealed interface ForwardingEffect
@@ -71,6 +72,9 @@
 /** Ask the routers at [addresses] for their contact with the leader. Answers are posted as [ContactAnswered]. */
 data class AskContact(val addresses: List<String>) : ForwardingEffect
 
+/** Ask the routers at [addresses] for the origins of [streams]. An answer is posted as [OriginsAnswered]. */
+data class AskOrigins(val addresses: List<String>, val streams: List<StreamDigest>) : ForwardingEffect
+
 /** Fetch the configuration of [version], or a newer one, from the control process on [host]. */
 data class FetchConfiguration(val version: Long, val host: String) : ForwardingEffect
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -5,7 +5,9 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import org.ibismoor.coordination.api.ReportAnswer
+import org.ibismoor.coordination.api.StreamOrigin
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.StreamDigest
 import org.ibismoor.core.api.UpstreamId
 
 sealed interface ForwardingMessage
@@ -68,5 +70,8 @@
 /** The router at [from] has said whether it has contact with the leader. */
 data class ContactAnswered(val from: String, val hasLeader: Boolean) : ForwardingMessage
 
+/** Another router knows the [origins] of streams that this router has asked for. */
+data class OriginsAnswered(val origins: Map<StreamDigest, StreamOrigin>) : ForwardingMessage
+
 /** Reloaded settings list the [hosts] of control processes. */
 data class ControlHostsChanged(val hosts: List<String>) : ForwardingMessage
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -33,6 +33,7 @@
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
     val prompts: PromptTables = PromptTables(),
     val crashedRequests: CrashedRequestTables = CrashedRequestTables(),
+    val streams: StreamOriginTables = StreamOriginTables(),
 ) {
     val isDraining: Boolean get() = drainStartedAt != null
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -9,6 +9,9 @@
 private const val MAXIMUM_LOAN_WAIT_MILLIS = 40L
 private const val MAXIMUM_ELECTION_WAIT_MILLIS = 900L
 private const val LOAD_NOTICE_DELAY_MILLIS = 5L
+private const val MAXIMUM_ORIGIN_WAIT_MILLIS = 900L
+private const val MAXIMUM_PEER_ORIGIN_WAIT_MILLIS = 60L
+private const val STREAM_REPORT_MILLIS_PER_ROUTER = 5L
 private const val ALLOWANCE_REQUEST_INTERVAL_MILLIS = 10L
 private const val FETCH_RETRY_MILLIS = 100L
 private const val MAXIMUM_CONFIGURATION_AGE_MILLIS = 2_000L
@@ -38,6 +41,12 @@
     val maximumElectionWaitMillis: Long = MAXIMUM_ELECTION_WAIT_MILLIS,
     /** Longest election. A leader without contact for longer is taken to be separated from this router. */
     val maximumElectionMillis: Long = MAXIMUM_ELECTION_MILLIS,
+    /** Longest time for which a request waits to learn where its stream began: the time of an election. */
+    val maximumOriginWaitMillis: Long = MAXIMUM_ORIGIN_WAIT_MILLIS,
+    /** The same while no control process can be reached and only other routers can answer. */
+    val maximumPeerOriginWaitMillis: Long = MAXIMUM_PEER_ORIGIN_WAIT_MILLIS,
+    /** Interval of reports on begun streams, for each router of the fleet: bounds the leader's work. */
+    val streamReportMillisPerRouter: Long = STREAM_REPORT_MILLIS_PER_ROUTER,
     /** Prompts sent within this time share one load notice to the other routers. */
     val loadNoticeDelayMillis: Long = LOAD_NOTICE_DELAY_MILLIS,
     /** Minimum interval of reports that request tokens for waiting requests. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -49,6 +49,13 @@
 /** Waits for tokens that were requested from the leader; the request is refused at [until]. */
 data class AwaitingAllowance(val since: Timestamp, val until: Timestamp) : RequestPhase
 
+/**
+ * Waits since [since] to learn which software version began the stream that the caller continues; the request is
+ * refused at [until]. The leader has said that it does not know if [isUnknownToLeader].
+ */
+data class AwaitingOrigin(val since: Timestamp, val until: Timestamp, val isUnknownToLeader: Boolean = false) :
+    RequestPhase
+
 /** Waits to be sent to an upstream. */
 data object AwaitingUpstream : RequestPhase
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
@@ -121,21 +121,16 @@
             random = tables.random.advance(),
             retries = tables.retries.withRequestCounted(group, now),
         )
-        val cost = request.head.prompt?.maximumCost ?: 0
-        val isLimited = organisation?.budget != null && cost > 0
-        return if (isLimited) reserveTokens(next, request, cost, now) else ForwardingStep(next.withWaiting(request))
+        val isContinuation = route.kind.isStream && message.head.continuation != null
+        return if (isContinuation) continueStream(next, request, now) else admitResolved(next, request, settings, now)
     }
 
-    private fun reserveTokens(
-        tables: ForwardingTables,
-        request: RequestRow,
-        cost: Long,
-        now: Timestamp,
-    ): ForwardingStep {
-        val tablesWithReservation = tables.withReservation(request, cost)
-        return ForwardingStep(
-            tablesWithReservation ?: tables.withShortfall(request, now, tables.allowanceWaitLimit(now, settings)),
-        )
+    private fun continueStream(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
+        val origin = request.continuedStream?.let(tables.streams.origins::get)
+        return when (origin) {
+            null -> ForwardingStep(tables.withAwaitedOrigin(request, now, settings))
+            else -> tables.withResolved(request, origin, "own", settings, now)
+        }
     }
 
     /** Configuration, route and organisation under which a request is accepted. */
@@ -154,3 +149,21 @@
         remaining < 0
     }.group
 }
+
+/** Reserves the tokens of [request], which may then be sent. */
+internal fun admitResolved(
+    tables: ForwardingTables,
+    request: RequestRow,
+    settings: ForwardingSettings,
+    now: Timestamp,
+): ForwardingStep {
+    val cost = request.head.prompt?.maximumCost ?: 0
+    val isLimited = tables.configuration?.organisations?.get(request.organisation)?.budget != null && cost > 0
+    val resolved = request.copy(phase = AwaitingUpstream)
+    val next = when {
+        !isLimited -> tables.withWaiting(resolved)
+        else -> tables.withReservation(resolved, cost)
+            ?: tables.withShortfall(resolved, now, tables.allowanceWaitLimit(now, settings))
+    }
+    return ForwardingStep(next)
+}
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -4,6 +4,7 @@
  */
 package org.ibismoor.forwarding.internal
 
+import org.ibismoor.coordination.api.StreamOrigin
 import org.ibismoor.core.api.RefusalReason
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
@@ -63,6 +64,7 @@
                 )
             }
             .withReportedLoad(phase, message.load, now)
+            .withOrigin(streamDigestOf(request.organisation, request.head.callId), originOf(request, phase), now)
             .let { it.copy(requests = it.requests.put(request.number, startedRequest)) }
     }
 
@@ -207,6 +209,9 @@
     ): ForwardingStep = refuseRequest(tables, request, reason, settings.times.retryAfterMillis, now)
 }
 
+private fun originOf(request: RequestRow, phase: AwaitingAnswer): StreamOrigin =
+    StreamOrigin(request.group, request.streamVersion ?: phase.version)
+
 private fun cancelRequest(tables: ForwardingTables, message: CallerDisconnected): ForwardingStep {
     val request = tables.requests[message.number] ?: return ForwardingStep(tables)
     val mayHaveRun = request.mayHaveRun || request.silent != null || request.phase is AwaitingAnswer
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.core.api.foldSteps
 import org.ibismoor.forwarding.api.AwaitingAllowance
 import org.ibismoor.forwarding.api.AwaitingAnswer
+import org.ibismoor.forwarding.api.AwaitingOrigin
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -34,11 +35,23 @@
                 val retryAfter = if (isControlLost) times.otherRouterRetryAfterMillis else times.retryAfterMillis
                 refuseForAllowance(tables, request, RefusalReason.SHARE_EXHAUSTED, retryAfter, now)
             }
+            phase is AwaitingOrigin && phase.until <= now -> refuseUnknownStream(tables, request, phase, now)
             request.dueAt <= now -> refuseOverdue(tables, request, now)
             else -> ForwardingStep(tables)
         }
     }
 
+    /** A stream that the leader does not know stays unknown, so this refusal has no retry time. */
+    private fun refuseUnknownStream(
+        tables: ForwardingTables,
+        request: RequestRow,
+        phase: AwaitingOrigin,
+        now: Timestamp,
+    ): ForwardingStep {
+        val retryAfter = settings.times.otherRouterRetryAfterMillis.takeIf { !phase.isUnknownToLeader }
+        return refuseRequest(tables, request, RefusalReason.UNKNOWN_STREAM, retryAfter, now)
+    }
+
     private fun refuseOverdue(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
         val mayHaveRun = request.mayHaveRun || request.phase is AwaitingAnswer
         val reason = if (mayHaveRun) RefusalReason.UPSTREAM_TIMEOUT else RefusalReason.QUEUE_DEADLINE
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -160,12 +160,14 @@
         "revision" to list.revision,
         "upstreams" to rows.size,
         "leaving" to list.upstreams.count { it.isLeaving },
+        "mixed_groups" to list.mixedGroups.joinToString(","),
         "at_ms" to now.millis,
     )
     return ForwardingStep(
         tables.copy(
             upstreams = rows.toPersistentHashMap(),
             fleet = tables.fleet.copy(upstreamRevision = list.revision),
+            streams = tables.streams.withMixedGroups(list.mixedGroups),
         ),
         listOf(decision),
     )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -21,6 +21,7 @@
             ContactSystem(settings),
             ConfigurationSystem(settings),
             ArrivalSystem(settings),
+            StreamOriginSystem(settings),
             LoanSystem(settings),
             CrashEvidenceSystem(settings),
             RequestCrashSystem(),
@@ -44,6 +45,7 @@
         val report = tables.fleet.nextReportAt.takeIf { !tables.fleet.isReporting }
         return listOfNotNull(
             tables.due.next,
+            tables.streams.expiry.next,
             report,
             tables.fleet.loadNoticeDueAt,
             tables.nextFetchAt(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -64,6 +64,10 @@
     )
 }
 
+/** The version does not come back, so this refusal has no retry time. */
+internal fun refuseVersionGone(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep =
+    refuseRequest(tables, request, RefusalReason.VERSION_GONE, retryAfterMillis = null, now)
+
 /** Which of the two bounds ends the request first: its caller's deadline or the timeout of its route. */
 private fun limitText(request: RequestRow): String {
     val isRouteFirst = request.dueAt - request.arrivedAt >= request.route.timeoutMillis
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -52,7 +52,8 @@
         val fleet = tables.fleet
         val isDue = !fleet.isReporting && fleet.nextReportAt <= tick.now && fleet.controlHosts.isNotEmpty()
         if (!isDue) return ForwardingStep(tables)
-        return sendReport(tables.withoutExpiredRetries(tick.now, settings), tick.now)
+        val next = tables.withoutExpiredRetries(tick.now, settings)
+        return sendReport(next.copy(streams = next.streams.withReportSent()), tick.now)
     }
 
     private fun sendReport(tables: ForwardingTables, now: Timestamp): ForwardingStep {
@@ -85,6 +86,7 @@
             isFetchingConfigurations = true,
             prompts = promptEvidence(tables.prompts, settings.router, now),
             requests = requestEvidence(tables.crashedRequests, now),
+            streams = streamEvidence(tables),
         )
         val fleet = tablesWithDemand.fleet.copy(isReporting = true, lastReportAt = now)
         val effect = SendReport(fleet.controlHosts.first(), report)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
@@ -22,6 +22,7 @@
     withoutInFlight(request).withSettledCost(request, cost).copy(
         requests = requests.remove(request.number),
         waiting = waiting.remove(request.number),
+        streams = streams.withoutAwaiting(request.number),
     )
 
 /** Attempt number [attempt] of the request if it is in flight, silent or not. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -43,6 +43,7 @@
         val candidates = candidates(tables, request, now)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
+            tables.isVersionGone(request) -> refuseVersionGone(tables, request, now)
             else -> {
                 val retryAfterMillis = retryAfterMillis(tables, request, now)
                 refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
@@ -147,3 +148,9 @@
 
 private fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
     entry.id !in triedUpstreams && (streamVersion == null || entry.version == streamVersion)
+
+/** True if the list has no upstream that could ever go on with the stream of [request]. */
+private fun ForwardingTables.isVersionGone(request: RequestRow): Boolean =
+    request.streamVersion != null && upstreams.values.none {
+        it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving
+    }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/InternalPaths.kt
@@ -10,6 +10,7 @@
     const val LOAN: String = "/internal/v1/loan"
     const val LOAD_NOTICE: String = "/internal/v1/use"
     const val CONTACT: String = "/internal/v1/contact"
+    const val STREAM_ORIGINS: String = "/internal/v1/streams"
     const val JOIN: String = "/internal/v1/join"
     const val LEADER: String = "/internal/v1/leader"
     const val ANNOUNCEMENT: String = "/internal/v1/announcement"
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -13,6 +13,7 @@
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.ApplyConfiguration
 import org.ibismoor.forwarding.api.AskContact
+import org.ibismoor.forwarding.api.AskOrigins
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.FetchConfiguration
@@ -30,6 +31,7 @@
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.hasLeaderContact
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.forwarding.api.knownOrigins
 import org.ibismoor.gateway.api.PlatformFormats
 import org.ibismoor.gateway.api.RouterProcess
 import org.ibismoor.gateway.api.RouterSettings
@@ -78,6 +80,8 @@
     private val notices = LoadNotices(client, settings.routerPort, meters, loop::post)
     private val contacts =
         ContactQueries(client, settings.routerPort, { loop.tables.hasLeaderContact(clock.now()) }, loop::post)
+    private val origins =
+        OriginQueries(client, settings.routerPort, { loop.tables.knownOrigins(it) }, loop::post)
     private val fetcher =
         ConfigurationFetcher(DocumentClient(group, pool), settings.controlPort, formats.configuration, loop::post)
     private var controlJob: Job? = null
@@ -114,6 +118,7 @@
                 is FetchConfiguration -> fetcher.fetch(effect)
                 is SendLoadNotice -> notices.send(effect)
                 is AskContact -> contacts.ask(effect)
+                is AskOrigins -> origins.ask(effect)
                 is RequestLoan -> loans.requestLoan(effect)
                 is AnswerLoan -> loans.answerLoan(effect)
                 is ApplyConfiguration -> traffic.limits = effect.configuration.limits
@@ -132,6 +137,7 @@
             InternalPaths.LOAN -> loans.handle(request)
             InternalPaths.LOAD_NOTICE -> notices.handle(request)
             InternalPaths.CONTACT -> contacts.handle()
+            InternalPaths.STREAM_ORIGINS -> origins.handle(request)
             else -> CompletableFuture.completedFuture(SimpleAnswer(STATUS_NOT_FOUND))
         }
 
