Let upstreams that have just begun to leave end streams of their version

Cause: a leaving upstream gets nothing new, and in a release of a whole service no other upstream has the version that began the stream.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AvailabilityRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AvailabilityRow.kt
@@ -8,6 +8,8 @@
 data class AvailabilityRow(
     /** When the upstream first announced in an answer that it is leaving; null if it has not. */
     val leavingSince: Timestamp? = null,
+    /** When the list first showed here that the upstream is leaving; null if it always has, or does not. */
+    val listedLeavingSince: Timestamp? = null,
     /** End of the pause that the upstream asked for; null without a pause. */
     val pausedUntil: Timestamp? = null,
     /** End of the last pause, from which the number of requests in flight may rise again; null if there was none. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -152,7 +152,7 @@
     if (list == null || list.revision <= tables.fleet.upstreamRevision) return ForwardingStep(tables)
     val rows = list.upstreams.associate { entry ->
         val row = tables.upstreams[entry.id]?.takeIf { isSameIncarnation(it.entry, entry) }
-        entry.id to (row?.copy(entry = entry) ?: UpstreamRow(entry, sentParts = persistentHashMapOf()))
+        entry.id to (row?.withEntry(entry, now) ?: UpstreamRow(entry, sentParts = persistentHashMapOf()))
     }
     val decision = logDecision(
         DecisionKind.UPSTREAMS_LISTED,
@@ -173,6 +173,12 @@
     )
 }
 
+private fun UpstreamRow.withEntry(next: UpstreamEntry, now: Timestamp): UpstreamRow {
+    val isNewlyLeaving = next.isLeaving && !entry.isLeaving
+    val since = if (isNewlyLeaving) now else availability.listedLeavingSince
+    return copy(entry = next, availability = availability.copy(listedLeavingSince = since))
+}
+
 /**
  * An upstream that was listed as leaving and no longer is, or has another software version, has been started again
  * under its identifier.
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -52,15 +52,18 @@
     }
 
     /**
-     * Ejected upstreams are used only if there are no others; leaving ones and those in a pause never, and for a stream
-     * that has begun none of another version, which would write a different text.
+     * Ejected upstreams are used only if there are no others; those in a pause never, and for a stream that has begun
+     * none of another version, which would write a different text. Leaving ones only end streams of their version.
      */
     private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
         val usable = tables.upstreams.values.filter {
-            it.entry.group == request.group && request.mayUse(it.entry) && !it.isLeaving && !it.isPaused(now) &&
+            it.entry.group == request.group && request.mayUse(it.entry) && !it.isPaused(now) &&
                 it.hasResumed(now, settings.times.resumptionMillis)
         }
-        return usable.filterNot { it.isEjected(now) }.ifEmpty { usable }
+        val staying = usable.filter { !it.isLeaving }
+        val sound = staying.filterNot { it.isEjected(now) }.ifEmpty { staying }
+        val isBegun = request.streamVersion != null
+        return sound.ifEmpty { usable.filter { isBegun && it.canEndStreams(now, settings.times.leavingUseMillis) } }
     }
 
     /** The time until the first upstream's pause ends, if all that stay are in a pause. */
@@ -154,3 +157,11 @@
     request.streamVersion != null && upstreams.values.none {
         it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving
     }
+
+/** True if the upstream has been leaving for less than [limitMillis], so that it serves for a while. */
+private fun UpstreamRow.canEndStreams(now: Timestamp, limitMillis: Long): Boolean {
+    val listedSince = availability.listedLeavingSince
+    val since = listOfNotNull(listedSince, availability.leavingSince).minOrNull()
+    val isStartKnown = !entry.isLeaving || listedSince != null
+    return since != null && isStartKnown && now - since < limitMillis
+}
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamVersionTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamVersionTest.kt
@@ -143,7 +143,4 @@
     router.versionsOf(number) shouldContainExactly listOf(FIRST_VERSION, SECOND_VERSION, SECOND_VERSION)
 }
 
-private fun RouterHarness.versionsOf(number: RequestNumber): List<SoftwareVersion> =
-    attemptsOf(number).map { it.upstream.version }
-
 private fun RouterHarness.failuresOf(id: UpstreamId): FailureRow = tables.upstreams.getValue(id).failures
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/VersionedStreams.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/VersionedStreams.kt
@@ -32,3 +32,6 @@
     }
     return configuration.copy(routes = routes.toPersistentHashMap())
 }
+
+internal fun RouterHarness.versionsOf(number: RequestNumber): List<SoftwareVersion> =
+    attemptsOf(number).map { it.upstream.version }
