Close kept connections that become idle late in a drain

In the unit test a request that was sent on a kept connection after the drain had returned reached an upstream. The process exits then, so its caller gets neither an answer nor a refusal, and no line of the log names it.

Cause: idle connections are closed once, 4.5 s after the start of a drain. An answer whose head was written before the drain does not say `Connection: close`, so the connection of a long stream that ended after that moment was kept, and the router went on to read requests from it until it exited.

Change: from that moment on a connection is closed as soon as it is idle. A request that the router has already read is still answered, and its answer says `Connection: close`.

Result: both cases of DrainedConnectionTest pass. Before the change the first one ended with `Read timed out` on the connection that stayed open, the second one with two requests at the upstream in place of one.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
@@ -205,6 +205,7 @@
     private fun readPipelined() {
         while (exchange == null && pipelined.isNotEmpty() && !isClosing) readMessage(pipelined.removeFirst())
         if (pipelined.size < MAXIMUM_PIPELINED_OBJECTS) context.channel().config().isAutoRead = true
+        if (environment.isClosingIdle) closeIfIdle()
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
@@ -10,6 +10,9 @@
     val limits: CallerLimits
     val dialect: HttpDialect
     val isDraining: Boolean
+
+    /** True from the moment in a drain at which idle connections are closed. */
+    val isClosingIdle: Boolean
     val cuts: CutAnswerRecorder
 
     fun registerConnection(connection: CallerConnection)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -53,6 +53,9 @@
     @Volatile
     override var isDraining: Boolean = false
 
+    override var isClosingIdle: Boolean = false
+        private set
+
     val isIdle: Boolean get() = exchanges.isEmpty()
 
     /** Listens on [address]. Throws `IOException` if it cannot be used. */
@@ -77,7 +80,9 @@
         server?.close()
     }
 
+    /** Closes idle connections, and every other one as soon as it is idle. */
     fun closeIdle() {
+        isClosingIdle = true
         connections.toList().forEach { it.closeIfIdle() }
     }
 
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.core.api.UpstreamId
 import org.ibismoor.forwarding.api.ForwardingSettings
+import org.ibismoor.gateway.api.DrainTimes
 import org.ibismoor.gateway.api.RouterProcess
 import org.ibismoor.gateway.api.RouterSettings
 import org.ibismoor.gateway.api.SimpleAnswer
@@ -30,7 +31,8 @@
 private const val POLL_INTERVAL_MILLIS = 20L
 private const val MAXIMUM_POLLS = 250
 
-internal class RouterFixture(vararg answers: RawAnswer) : AutoCloseable {
+internal class RouterFixture(vararg answers: RawAnswer, private val drainTimes: DrainTimes = DrainTimes()) :
+    AutoCloseable {
     val upstreams = answers.map(::RawUpstream)
     private val group = createTrafficThread()
     private val port = freePort()
@@ -57,6 +59,7 @@
             callerAddress = ListenAddress("127.0.0.1", port),
             controlPort = controlPort,
             routerPort = freePort(),
+            drain = drainTimes,
         )
 
     private fun reportAnswer(): String {
@@ -79,6 +82,9 @@
 
     val metrics: String get() = process.metrics()
 
+    /** Returns when the process may exit. */
+    fun drain() = process.drain()
+
     fun connect(): Socket = Socket("127.0.0.1", port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
 
     /** Sends [text] on a new connection and reads until the router closes it. */
