End a drain only when no caller is connected

In the unit test a drain returned, so that the process would have exited, while the body of a request was still being read. A request whose last bytes arrive between that and the exit is read whole and gets neither an answer nor a line in the log.

Cause: a drain ended when no request was open at the control thread and no exchange existed. A request has an exchange only once it is read whole. An exchange also ends when its answer is handed to the connection, which may not have sent it yet.

Change: a drain ends when there is no open request and no connection of a caller, at the latest when its time is over as before. Idle connections are closed before, so only those with a request, a partial request or an unsent answer keep it open. The flag is volatile, since the drain reads it from its own thread; it read a map of the traffic thread before.

Result: the new case of DrainedConnectionTest passes; before the change the drain had returned while it sent the rest of the body (`expected:<true> but was:<false>`). The part about unsent answers has no test of its own.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -56,7 +56,10 @@
     override var isClosingIdle: Boolean = false
         private set
 
-    val isIdle: Boolean get() = exchanges.isEmpty()
+    /** True while a caller is connected. Its connection may have a request that is still read or an unsent answer. */
+    @Volatile
+    var hasConnections: Boolean = false
+        private set
 
     /** Listens on [address]. Throws `IOException` if it cannot be used. */
     fun listen(address: ListenAddress) {
@@ -117,10 +120,12 @@
 
     override fun registerConnection(connection: CallerConnection) {
         connections += connection
+        hasConnections = true
     }
 
     override fun unregisterConnection(connection: CallerConnection) {
         connections -= connection
+        hasConnections = connections.isNotEmpty()
     }
 
     override fun startExchange(request: ReceivedRequest, output: AnswerSink): Exchange {
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -173,7 +173,7 @@
         group.execute { traffic.closeIdle() }
         waitUntil {
             val isOver = clock.now() - startedAt >= settings.forwarding.times.maximumDrainMillis
-            isOver || loop.tables.requests.isEmpty() && traffic.isIdle
+            isOver || loop.tables.requests.isEmpty() && !traffic.hasConnections
         }
         group.submit { traffic.recordOpenExchanges() }.await(CUT_RECORD_MILLIS)
         log.write("stopped", "after_ms" to clock.now() - startedAt, "open_requests" to loop.tables.requests.size)
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/DrainedConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/DrainedConnectionTest.kt
@@ -80,4 +80,20 @@
             fixture.receivedRequests shouldHaveSize 1
         }
     }
+
+    "a request whose last bytes arrive late in a drain is answered before the process exits" {
+        // Guards against a drain that ends while a request is being read, which then gets no answer.
+        val answering = RawAnswer { request, output, _ -> output.write(plainAnswer(request, "done")) }
+        RouterFixture(answering, drainTimes = shortDrain).use { fixture ->
+            fixture.connect().use { socket ->
+                socket.send(request("POST /once/1", "Content-Length: 2", body = "a"))
+                val drain = thread { fixture.drain() }
+                TimeUnit.MILLISECONDS.sleep(2 * shortDrain.closeIdleAfterMillis)
+                drain.isAlive shouldBe true
+                socket.send("b")
+                String(socket.getInputStream().readAllBytes()) shouldEndWith "done"
+                drain.join()
+            }
+        }
+    }
 })
