Keep a connection open that has a pipelined request to handle

In the unit test the router closes a connection although it has read a second, whole request from it, which then gets no answer; its exchange starts on the closed connection, so the log would say that the caller left.

Cause: between an answer and the next pipelined request a connection has neither an exchange nor a partial request, since pipelined requests are handled in a task of their own. `closeIfIdle`, which a drain calls, took such a connection to be idle.

Change: a connection with pipelined messages isn't idle.

Result: the case of CallerConnectionTest passes; before the change the channel was closed (`expected:<true> but was:<false>`). That the task of a drain runs between the two is possible, but was not seen.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
@@ -132,9 +132,9 @@
         }
     }
 
-    /** Closes the connection if it has neither a partial request nor an exchange. */
+    /** Closes the connection if it has no exchange and no request that was read in part or waits to be handled. */
     fun closeIfIdle() {
-        if (exchange == null && requestReader == null) context.close()
+        if (exchange == null && requestReader == null && pipelined.isEmpty()) context.close()
     }
 
     override fun sendAnswer(status: Int, reason: String, headers: HttpHeaders, body: ByteArray) {
