Log an exception that ends a request before its exchange

Symptom: if an exception closes a caller's connection when a request has been read whole and its exchange is not there yet, no line of the log names the request.

Cause: cut answers are recorded by the exchange, and a request that is read in part by the connection. The connection dropped its reader before it asked for the exchange, so between the two there was neither.

Change: the connection keeps its reader until the exchange exists, and records an exception of the router's own code as `internal_error` with the identifier of the request. A connection that ends within a request is recorded as before. No decision changes.

Result: the new case of CallerConnectionTest passes; before the change no cut was recorded (`but was:<[]>`). All tests of the gateway pass.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
@@ -54,7 +54,7 @@
     override fun channelActive(ctx: ChannelHandlerContext) = environment.registerConnection(this)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        requestReader?.let { environment.cuts.record(CutAnswer(CutCause.REQUEST_INCOMPLETE, callId = it.callId)) }
+        if (exchange == null) recordUnstartedCut()
         requestReader = null
         isClosing = true
         pipelined.forEach(ReferenceCountUtil::release)
@@ -64,6 +64,17 @@
         exchange = null
     }
 
+    /** Records a request without an exchange: its bytes are incomplete, or an exception came before the exchange. */
+    private fun recordUnstartedCut() {
+        val exception = failure?.takeIf { cutCauseOf(it) == CutCause.INTERNAL_ERROR }
+        val callId = requestReader?.callId
+        if (exception != null) {
+            environment.cuts.record(CutAnswer(CutCause.INTERNAL_ERROR, nameOf(exception), callId))
+        } else if (requestReader != null) {
+            environment.cuts.record(CutAnswer(CutCause.REQUEST_INCOMPLETE, callId = callId))
+        }
+    }
+
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         val message = msg as? HttpObject
         when {
@@ -110,8 +121,8 @@
     }
 
     private fun startExchange(request: ReceivedRequest) {
-        requestReader = null
         exchange = environment.startExchange(request, this)
+        requestReader = null
     }
 
     private fun reject(problem: RequestProblem) {
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
@@ -15,7 +15,9 @@
 import org.ibismoor.gateway.internal.router.AnswerSink
 import org.ibismoor.gateway.internal.router.CallerConnection
 import org.ibismoor.gateway.internal.router.ConnectionEnvironment
+import org.ibismoor.gateway.internal.router.CutAnswer
 import org.ibismoor.gateway.internal.router.CutAnswerRecorder
+import org.ibismoor.gateway.internal.router.CutCause
 import org.ibismoor.gateway.internal.router.Exchange
 import org.ibismoor.gateway.internal.router.ReceivedRequest
 import org.ibismoor.gateway.internal.router.RequestProblem
@@ -26,11 +28,12 @@
 
 private class ScriptedEnvironment(private val start: (ReceivedRequest) -> Exchange) : ConnectionEnvironment {
     val paths = mutableListOf<String>()
+    val recordedCuts = mutableListOf<CutAnswer>()
     override val limits = CallerLimits()
     override val dialect = TestDialect
     override val isDraining = false
     override val isClosingIdle = false
-    override val cuts = CutAnswerRecorder { }
+    override val cuts = CutAnswerRecorder { recordedCuts += it }
     val connection = CallerConnection(AnswerEncoder(), this)
     val channel = EmbeddedChannel(StrictRequestDecoder(HEADER_BYTES), AnswerEncoder(), connection)
 
@@ -63,4 +66,12 @@
             environment.paths shouldContainExactly listOf("/once/1", "/once/2")
         }
     }
+
+    "an exception before a request that was read is handled is recorded" {
+        // Guards against a whole request that ends without an answer and without a line in the log.
+        val environment = ScriptedEnvironment { error("no exchange") }
+        environment.receive(keptRequest("POST /once/1"))
+        environment.recordedCuts shouldContainExactly
+            listOf(CutAnswer(CutCause.INTERNAL_ERROR, "IllegalStateException", "c1"))
+    }
 })
