Write the log in parts that a pipe takes whole

Cause: up to 256 lines are written in one piece, and the reader of the output gets about the first 8 KiB of it.

Change: a batch is written in blocks of whole lines of at most 4,096 bytes, which Linux writes to a pipe in one piece. If a block fails, the lines of it and of the blocks after it are counted as dropped.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/StructuredLog.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/StructuredLog.kt
@@ -19,6 +19,9 @@
 private const val MAXIMUM_QUEUED_LINES = 4_096
 private const val BATCH_LINES = 256
 
+/** Linux writes up to this many bytes to a pipe in one piece; a reader may get a larger write in part. */
+private const val MAXIMUM_WRITE_BYTES = 4_096
+
 /** Lines that arrive within this time are written as one batch. */
 private const val BATCH_DELAY_MILLIS = 200L
 private const val CLOSE_TIMEOUT_MILLIS = 300L
@@ -94,15 +97,34 @@
 
     private fun writeBatch(batch: List<String>) {
         val lost = unreportedDrops.getAndSet(0)
-        val text = StringBuilder()
-        batch.forEach(text::append)
-        if (lost > 0) text.append("part=$part event=log_lines_dropped count=$lost\n")
+        val notice = if (lost > 0) listOf("part=$part event=log_lines_dropped count=$lost\n") else emptyList()
+        var written = 0
         try {
-            output.write(text.toString().encodeToByteArray())
+            blocksOf(batch + notice).forEach { lines ->
+                output.write(lines.joinToString("").encodeToByteArray())
+                written += lines.size
+            }
         } catch (_: IOException) {
             // Standard output is closed, so nothing can be logged now; the next batch reports the lines as dropped.
-            unreportedDrops.addAndGet(lost + batch.size)
-            totalDrops.addAndGet(batch.size.toLong())
+            val unwritten = (batch.size - written).coerceAtLeast(0).toLong()
+            unreportedDrops.addAndGet(lost + unwritten)
+            totalDrops.addAndGet(unwritten)
+        }
+    }
+}
+
+/** Splits [lines] into blocks of at most [MAXIMUM_WRITE_BYTES]. A longer line has a block of its own. */
+private fun blocksOf(lines: List<String>): List<List<String>> {
+    val blocks = ArrayList<ArrayList<String>>()
+    var bytes = MAXIMUM_WRITE_BYTES
+    lines.forEach { line ->
+        val lineBytes = line.encodeToByteArray().size
+        if (bytes + lineBytes > MAXIMUM_WRITE_BYTES) {
+            blocks += ArrayList<String>()
+            bytes = 0
         }
+        blocks.last() += line
+        bytes += lineBytes
     }
+    return blocks
 }
