Guard answers of the product against texts of two versions

Symptom: none seen. Upstreams of several software versions may serve in one group, and a text must not be joined from two of them. No test of the router or of the routing decisions checked this.

Cause: answers were safe by construction only. An attempt is started only from WAITING, a started answer never returns there, a traffic thread takes no second attempt once parts were passed on, each attempt has its own assembler, and routers keep no text of a request.

The test fleet can restart its router.

--- a/router/src/test/kotlin/org/ibismoor/router/TestFleet.kt
+++ b/router/src/test/kotlin/org/ibismoor/router/TestFleet.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.RouterId
 import org.ibismoor.router.api.ControlAddress
+import org.ibismoor.router.api.RouterProcess
 import org.ibismoor.router.api.RouterSettings
 import org.ibismoor.router.api.startRouter
 import org.ibismoor.standin.api.EngineSettings
@@ -28,31 +29,46 @@
 val httpClient: OkHttpClient =
     createOkHttpClient(ClientSettings(readTimeoutMillis = 20_000, callTimeoutMillis = 30_000))
 
+/** If there are [otherUpstreams], given by their ports, they serve as engines and in place of the service stand-in. */
 class TestFleet(
     engineSettings: List<EngineSettings>,
     serviceSettings: ServiceSettings = ServiceSettings(),
+    otherUpstreams: List<Int> = emptyList(),
 ) : AutoCloseable {
     val engines = engineSettings.map(::startEngine)
     val service = startService(serviceSettings)
-    val control = FakeControl(engines.map { it.port }, listOf(service.port))
-    val router = startRouter(
-        RouterSettings(
-            id = RouterId("norte-a"),
-            domain = FailureDomainId("norte"),
-            host = "127.0.0.1",
-            port = 0,
-            publicUrl = null,
-            controlAddresses = listOf(ControlAddress(FailureDomainId("norte"), control.url)),
-            randomSeed = 1,
-            httpLimits = HttpLimits(bodyBytes = 100_000, bodyTimeoutMillis = 1_000),
-        ),
-    )
-    val url = "http://127.0.0.1:${router.port}"
+    val control = FakeControl(engines.map { it.port } + otherUpstreams, otherUpstreams.ifEmpty { listOf(service.port) })
+    var router = startTestRouter()
+        private set
+    val url get() = "http://127.0.0.1:${router.port}"
 
     init {
-        runBlocking { eventually(20.seconds) { get("/health").first shouldBe 200 } }
+        awaitReady()
     }
 
+    /** Ends the router and starts another one, which has no state of the first. */
+    fun restartRouter() {
+        router.close()
+        router = startTestRouter()
+        awaitReady()
+    }
+
+    private fun startTestRouter(): RouterProcess =
+        startRouter(
+            RouterSettings(
+                id = RouterId("norte-a"),
+                domain = FailureDomainId("norte"),
+                host = "127.0.0.1",
+                port = 0,
+                publicUrl = null,
+                controlAddresses = listOf(ControlAddress(FailureDomainId("norte"), control.url)),
+                randomSeed = 1,
+                httpLimits = HttpLimits(bodyBytes = 100_000, bodyTimeoutMillis = 1_000),
+            ),
+        )
+
+    private fun awaitReady() = runBlocking { eventually(20.seconds) { get("/health").first shouldBe 200 } }
+
     fun openAi(key: String = API_KEY): OpenAIClient =
         OpenAIOkHttpClient.builder().apiKey(key).baseUrl("$url/v1").maxRetries(0).build()
 
