Refuse requests to go on after an event at the product's interface

Symptom: a caller's Last-Event-Id and Resumes reached a service, which any software version of it could obey, so a text could be joined from two versions over a caller's tries. A chat request with them got 200 and a new text from its first part, which the caller would take for the rest.

Cause: ServiceForwarder passes on every header it does not exclude, and the router read neither header. It does not know which version began a stream.

Change: CallOptions refuses a request with either header, whatever its value, with malformed_request (400) and not_run, before it reaches the routing decisions.

Result: the new case of StreamContinuationTest failed before ("expected 400 but was 200") and passes now: chat streamed and not, and a service call, with four forms of the headers, reach no upstream and no ledger. All 9 cases of it and 5 of BadInputTest pass.

--- a/router/src/main/kotlin/org/ibismoor/router/internal/CallOptions.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/CallOptions.kt
@@ -8,17 +8,23 @@
 
 private const val MAXIMUM_KEY_LENGTH = 256
 private const val MAXIMUM_DEADLINE_MILLIS = 86_400_000L
+private val continuationHeaders = listOf(HeaderNames.LAST_EVENT_ID, HeaderNames.RESUMES)
 private val keyCharacters = '!'..'~'
 
 internal data class CallOptions(val idempotencyKey: String?, val priority: Priority?, val deadlineMillis: Long?) {
     companion object {
         fun of(request: Request): Parsed<CallOptions> =
-            parseKey(request).flatMap { key ->
+            rejectContinuation(request) ?: parseKey(request).flatMap { key ->
                 parsePriority(request).flatMap { priority ->
                     parseDeadline(request).flatMap { Parsed.Value(CallOptions(key, priority, it)) }
                 }
             }
 
+        /** The router does not know which software version began a stream, and only that one may go on with it. */
+        private fun rejectContinuation(request: Request): Parsed.Malformed? =
+            continuationHeaders.firstOrNull { name -> request.headers.any { it.first.equals(name, ignoreCase = true) } }
+                ?.let { Parsed.Malformed("$it is not supported: send the request without it, it then runs anew") }
+
         private fun parseKey(request: Request): Parsed<String?> {
             val key = request.header(HeaderNames.IDEMPOTENCY_KEY) ?: return Parsed.Value(null)
             val isValid = key.length in 1..MAXIMUM_KEY_LENGTH && key.all { it in keyCharacters }
--- a/router/src/test/kotlin/org/ibismoor/router/StreamContinuationTest.kt
+++ b/router/src/test/kotlin/org/ibismoor/router/StreamContinuationTest.kt
@@ -149,6 +149,31 @@
         }
     }
 
+    // Guards against an upstream of another version that goes on after an event, and against a caller that takes a text
+    // from its start for the rest of the one it has.
+    "a request to go on after an event is refused as not run and reaches no upstream" {
+        val upstreams = VersionedUpstreams { _, _ -> }
+        withFleet(upstreams) { fleet ->
+            val calls = listOf(CHAT to chatBody(stream = true), CHAT to chatBody(stream = false), BOOKINGS to "{}")
+            val headers = listOf(
+                "Last-Event-Id" to "3",
+                "last-event-id" to "3",
+                "Last-Event-ID" to "",
+                "Resumes" to "a",
+            )
+            calls.forEach { (path, body) ->
+                headers.forEach { header ->
+                    val (status, text) = fleet.post(path, body, headers = mapOf(header))
+                    status shouldBe 400
+                    text shouldContain "malformed_request"
+                    text shouldContain "\"not_run\""
+                }
+            }
+            upstreams.runs.shouldBeEmpty()
+            fleet.control.requests.shouldBeEmpty()
+        }
+    }
+
     // Guards against a traffic thread that would append a second run to an answer if a retry were decided by mistake.
     "a decision to run a request again after its first part ends the answer with an error" {
         val cuts = AnswerCuts(createLog("router"), RouterMetrics { null }) { ConfigurationNumber(7) }
