Forget origins of streams without a wake-up for each

Symptom: none seen; read in the diff. A router would wake up once for each stream 60 s after its first event, and moving a report's streams out of a long backlog compared each with each.

Cause: the expiry of origins was part of the next due time, and the backlog was reduced by removeAll.

Change: origins expire in the next tick after their time, the backlog drops its first entries, and the digest is formatted without a formatter for each byte.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/StreamOriginTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/StreamOriginTables.kt
@@ -17,7 +17,7 @@
 
 data class StreamOriginTables(
     val origins: PersistentMap<StreamDigest, StreamOrigin> = persistentHashMapOf(),
-    /** When each of [origins] is forgotten. */
+    /** When each of [origins] is forgotten, with the next tick after it. */
     val expiry: DueQueue<StreamDigest> = DueQueue.empty(),
     /** Groups in which a stream can have begun at several software versions; the leader records their streams. */
     val mixedGroups: PersistentSet<UpstreamGroupId> = persistentHashSetOf(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -45,7 +45,6 @@
         val report = tables.fleet.nextReportAt.takeIf { !tables.fleet.isReporting }
         return listOfNotNull(
             tables.due.next,
-            tables.streams.expiry.next,
             report,
             tables.fleet.loadNoticeDueAt,
             tables.nextFetchAt(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentHashSet
+import kotlinx.collections.immutable.toPersistentList
 import org.ibismoor.coordination.api.BegunStreams
 import org.ibismoor.coordination.api.StreamEvidence
 import org.ibismoor.coordination.api.StreamOrigin
@@ -19,6 +20,7 @@
 import org.ibismoor.forwarding.api.RequestRow
 import org.ibismoor.forwarding.api.StreamOriginTables
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** 64 bits: a collision among the streams of a minute stays out of the question. */
 private const val DIGEST_BYTES = 8
@@ -39,7 +41,7 @@
 internal fun streamDigestOf(organisation: OrganisationId?, callId: String): StreamDigest {
     val text = organisation?.text.orEmpty() + SEPARATOR + callId
     val bytes = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
-    return StreamDigest(bytes.take(DIGEST_BYTES).joinToString("") { "%02x".format(it) })
+    return StreamDigest(HexFormat.of().formatHex(bytes, 0, DIGEST_BYTES))
 }
 
 /** Identity of the stream that the caller of the request continues; null if it does not name its first call. */
@@ -78,7 +80,8 @@
 internal fun StreamOriginTables.withReportSent(): StreamOriginTables {
     if (unreported.isEmpty()) return this
     val sent = unreported.take(MAXIMUM_REPORTED_STREAMS)
-    return copy(inReport = inReport.addAll(sent), unreported = unreported.removeAll(sent))
+    val rest = unreported.drop(sent.size).toPersistentList()
+    return copy(inReport = inReport.addAll(sent), unreported = rest)
 }
 
 internal fun StreamOriginTables.withReportLost(): StreamOriginTables =
