Shorten the time for which leaving upstreams end streams

A router that gets the list late takes the drain for younger than it is: with 1.5 s, a delay of 1.5 s would have let a request reach an upstream at the end of the 3 s for which it serves. One second leaves 2 s for the delay.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -12,7 +12,7 @@
 private const val MAXIMUM_ORIGIN_WAIT_MILLIS = 900L
 private const val MAXIMUM_PEER_ORIGIN_WAIT_MILLIS = 60L
 private const val STREAM_REPORT_MILLIS_PER_ROUTER = 5L
-private const val LEAVING_USE_MILLIS = 1_500L
+private const val LEAVING_USE_MILLIS = 1_000L
 private const val ALLOWANCE_REQUEST_INTERVAL_MILLIS = 10L
 private const val FETCH_RETRY_MILLIS = 100L
 private const val MAXIMUM_CONFIGURATION_AGE_MILLIS = 2_000L
@@ -49,8 +49,8 @@
     /** Interval of reports on begun streams, for each router of the fleet: bounds the leader's work. */
     val streamReportMillisPerRouter: Long = STREAM_REPORT_MILLIS_PER_ROUTER,
     /**
-     * An upstream that is leaving may end streams of its version for this long. It is half of the time for which the
-     * platform lets it serve, since the list reaches routers with a delay.
+     * An upstream that is leaving may end streams of its version for this long. It is a third of the time for which
+     * the platform lets it serve, since the list reaches routers with a delay.
      */
     val leavingUseMillis: Long = LEAVING_USE_MILLIS,
     /** Prompts sent within this time share one load notice to the other routers. */
