Test continued streams on a route with two groups

ArrivalSystem draws the group of a continuation by weight before the origin is known, and StreamQuestion carries that one group. StreamAnswers returns the sole version of the group that was asked for, though the stream can have begun in any group of the route, or of an earlier configuration of it. withResolved then records the guess as the origin, so knownOrigins passes it on to other routers, and withMixedGroups reports it to the leader.

--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuedStreams.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuedStreams.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.ibismoor.coordination.api.UpstreamEntry
+import org.ibismoor.forwarding.api.ForwardingConfiguration
 
 internal const val FLEET_SEEDS = 6
 private const val STREAMS_PER_SECOND = 12
@@ -25,9 +26,12 @@
  */
 internal fun checkContinuedStreams(
     entries: List<UpstreamEntry> = OLD_ENGINES + NEW_ENGINES,
+    configuration: ForwardingConfiguration = configurationOf(1, null),
     disturb: (StreamFleet) -> Unit,
 ) {
-    val fleets = List(FLEET_SEEDS) { seed -> startStreamFleet(seed, entries).also(disturb).also(::awaitLastTries) }
+    val fleets = List(FLEET_SEEDS) { seed ->
+        startStreamFleet(seed, entries, configuration).also(disturb).also(::awaitLastTries)
+    }
     val mixed = fleets.map { fleet -> fleet.callers.streams.count { it.versions.size > 1 } }
     val takeUps = fleets.flatMap(::countedTakeUps)
     val continued = takeUps.count { it.hasGoneOn }
@@ -39,8 +43,12 @@
 }
 
 /** A fleet in which callers have begun streams for a while. */
-internal fun startStreamFleet(seed: Int, entries: List<UpstreamEntry>): StreamFleet {
-    val fleet = StreamFleet(seed, entries)
+internal fun startStreamFleet(
+    seed: Int,
+    entries: List<UpstreamEntry>,
+    configuration: ForwardingConfiguration = configurationOf(1, null),
+): StreamFleet {
+    val fleet = StreamFleet(seed, entries, configuration)
     fleet.run(2_000)
     fleet.streamsPerSecond = STREAMS_PER_SECOND
     fleet.run(2_500)
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamFleet.kt
@@ -19,6 +19,7 @@
 import org.ibismoor.forwarding.api.CallerDisconnected
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.FirstEventArrived
+import org.ibismoor.forwarding.api.ForwardingConfiguration
 import org.ibismoor.forwarding.api.ForwardingEffect
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
@@ -46,7 +47,11 @@
 private const val MILLIS_PER_SECOND = 1_000
 private const val PROMPT_TOKENS = 500L
 
-internal class StreamFleet(private val seed: Int, entries: List<UpstreamEntry>) {
+internal class StreamFleet(
+    private val seed: Int,
+    entries: List<UpstreamEntry>,
+    private val configuration: ForwardingConfiguration = configurationOf(1, null),
+) {
     val random = Random(seed)
     var now = 0L
         private set
@@ -192,8 +197,8 @@
         }
 
         private fun receiveAnswer(answer: ReportAnswer?) {
-            val configuration = configurationOf(1, null).takeIf { tables.configuration == null }
-            val message = if (answer == null) ReportLost("unreachable") else ReportAnswered(answer, configuration)
+            val newest = configuration.takeIf { tables.configuration == null }
+            val message = if (answer == null) ReportLost("unreachable") else ReportAnswered(answer, newest)
             schedule { routerOf(name)?.run(listOf(message)) }
         }
     }
