--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/SplitRouteStreamTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/SplitRouteStreamTest.kt
@@ -7,7 +7,7 @@
 import org.ibismoor.forwarding.api.ForwardingConfiguration
 import org.ibismoor.forwarding.api.RouteTarget
 
-private val SECOND_GROUP = UpstreamGroupId("second")
+internal val SECOND_GROUP = UpstreamGroupId("second")
 private val SECOND_GROUP_ENGINES = List(4) { upstream("second-$it", SECOND_GROUP, SECOND_VERSION) }
 
 class SplitRouteStreamTest : StringSpec({
@@ -18,7 +18,7 @@
 })
 
 /** The usual configuration with a second target, of the same weight, on each route to the engines. */
-private fun splitConfiguration(): ForwardingConfiguration {
+internal fun splitConfiguration(): ForwardingConfiguration {
     val configuration = configurationOf(1, null)
     val engines = OLD_ENGINES.first().group
     val routes = configuration.routes.mapValues { (_, rows) ->
