Test that a caller is told to come back for a version not yet listed

refuseVersionGone takes a version that is not in this router's list for one that has left. Another router, which has the newer list already, can answer with a version that this router learns of with its next report, up to 400 ms later.

--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuationRefusalTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuationRefusalTest.kt
@@ -7,9 +7,11 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.StreamAnswer
+import org.ibismoor.coordination.api.StreamOrigin
 import org.ibismoor.coordination.api.UpstreamList
 import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.StreamDigest
+import org.ibismoor.forwarding.api.OriginsAnswered
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.RequestArrived
 import org.ibismoor.forwarding.api.RequestHead
@@ -41,6 +43,17 @@
             continuing.refusalOf(CONTINUATION).shouldNotBeNull().retryAfterMillis.shouldNotBeNull()
         }
     }
+
+    "a caller is told to come back for a version that the router does not list yet" {
+        // Guards against a refusal for good where the version is new and its upstreams follow with the next list.
+        val router = RouterHarness().start(entries = OLD_ENGINES)
+        router.continueStream()
+        router.post(OriginsAnswered(mapOf(STREAM to StreamOrigin(OLD_ENGINES[0].group, SECOND_VERSION))))
+        val refusal = router.refusalOf(CONTINUATION)
+        withClue("$refusal") {
+            if (refusal != null) refusal.retryAfterMillis.shouldNotBeNull()
+        }
+    }
 })
 
 /** A router of a large fleet, with two versions in service, that has just reported. */
