Hold the upstream list back while a change of versions is on its way

Symptom: a version that returns while the proposal to forget it is pending was listed and then removed by the commit; the leader then named the other version as the only one (a text of two versions was possible).

Cause: the list was published if the state had its versions at that moment, whatever was on its way. A new leader that has not applied its predecessor's entries is in the same position.

Change: no list is published before the leader has applied the entries of earlier terms, or while its own change of the versions is pending.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/SoftwareVersionSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/SoftwareVersionSystem.kt
@@ -47,13 +47,16 @@
         upstreams: List<UpstreamEntry>,
         now: Timestamp,
     ): CoordinationTables {
-        val isPending = tables.versionProposal?.let { it in tables.proposals } ?: false
         val changes = StreamChanges(
             appeared = upstreams.map { it.origin }.distinct().filterNot(tables.state.streams::isListed),
             forgotten = tables.absentVersions.filterValues { now - it >= settings.streamRetentionMillis }.keys.toList(),
         )
-        if (isPending || changes == StreamChanges()) return tables
+        if (tables.hasVersionProposal || changes == StreamChanges()) return tables
         val command = codec.writeCommand(MoveAllowances(emptyList(), emptyList(), streams = changes))
         return proposeCommand(tables.copy(versionProposal = tables.nextNumber), command, emptyList())
     }
 }
+
+/** A change of the committed software versions is on its way. */
+internal val CoordinationTables.hasVersionProposal: Boolean
+    get() = versionProposal?.let { it in proposals } ?: false
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/UpstreamListSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/UpstreamListSystem.kt
@@ -2,7 +2,8 @@
  * Keeps the latest reading of the platform's upstream list. The consensus term forms the high part of a revision, so
  * that the first reading of a new leader has a higher revision than any reading of its predecessor. A reading with a
  * software version that is not committed yet is held back: no stream may begin at a version that a later leader does
- * not know of.
+ * not know of. It is held back too while a change of the versions is on its way, which may forget one that has
+ * returned.
  */
 package org.ibismoor.coordination.internal
 
@@ -22,7 +23,8 @@
         val received = tick.messages.filterIsInstance<UpstreamListReceived>().lastOrNull()?.upstreams
         val upstreams = received ?: tables.heldUpstreams ?: return CoordinationStep(tables)
         val streams = tables.state.streams
-        val isCommitted = upstreams.all { streams.isListed(it.origin) }
+        val isSettled = hasAppliedEarlierTerms(tables) && !tables.hasVersionProposal
+        val isCommitted = isSettled && upstreams.all { streams.isListed(it.origin) }
         val current = tables.upstreams
         val isUnchanged = upstreams == current?.upstreams && streams.mixedGroups == current.mixedGroups
         val next = when {
