Tell the leader's answers on one stream apart by group

Symptom: two calls at one router that name the same stream and drew different groups of a split route got one answer for both: 2 of 8 calls reached a group with two versions for which the leader had said "unknown".

Cause: the answer named the stream and not the group of the question.

Change: the answer repeats the group, and a request takes only the answer to its own question. Two tests that build answers state the group.

Result: StreamAnswerGroupTest failed before (2 calls of 8) and passes.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamEvidence.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamEvidence.kt
@@ -22,12 +22,14 @@
 data class StreamQuestion(val stream: StreamDigest, val group: UpstreamGroupId)
 
 /**
- * The [origin] of [stream], null if it is not recorded. Then the stream began at [soleVersion], if only one version of
- * the group can have begun a stream that callers still continue; null if there are several.
+ * The [origin] of [stream], null if it is not recorded. Then a stream of [group] began at [soleVersion], if only one
+ * version of the group can have begun a stream that callers still continue; null if there are several.
  */
 @Serializable
 data class StreamAnswer(
     val stream: StreamDigest,
+    /** The group that the question named. */
+    val group: UpstreamGroupId? = null,
     val origin: StreamOrigin? = null,
     val soleVersion: SoftwareVersion? = null,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StreamAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/StreamAnswers.kt
@@ -19,6 +19,6 @@
     private fun answerTo(question: StreamQuestion): StreamAnswer {
         val origin = origins[question.stream]
         val soleVersion = streams.versions[question.group].orEmpty().singleOrNull()
-        return StreamAnswer(question.stream, origin, soleVersion.takeIf { origin == null })
+        return StreamAnswer(question.stream, question.group, origin, soleVersion.takeIf { origin == null })
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
@@ -57,10 +57,11 @@
         val answer = message.answer
         if (!answer.isLeading) return ForwardingStep(tables.copy(streams = tables.streams.withReportLost()))
         val confirmed = tables.copy(streams = tables.streams.withReportConfirmed())
-        val answers = answer.streams.associateBy { it.stream }
+        val answers = answer.streams.associateBy { it.stream to it.group }
         val asking = if (answers.isEmpty()) emptyList() else confirmed.awaitingOrigin()
         return foldSteps(confirmed, asking) { table, request ->
-            answers[request.askedStream]?.let { applyAnswer(table, request, it, now) } ?: ForwardingStep(table)
+            answers[request.askedStream to request.group]?.let { applyAnswer(table, request, it, now) }
+                ?: ForwardingStep(table)
         }
     }
 
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuationRefusalTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/ContinuationRefusalTest.kt
@@ -36,7 +36,7 @@
         continuing.continueStream()
         listOf(beginning, continuing).forEach { it.advance(100) }
         beginning.reportedStreams().shouldBeEmpty()
-        continuing.answerFromLeader(StreamAnswer(STREAM))
+        continuing.answerFromLeader(StreamAnswer(STREAM, OLD_ENGINES[0].group))
         listOf(beginning, continuing).forEach { it.advance(400) }
         beginning.reportedStreams() shouldContain STREAM
         withClue("${continuing.refusalOf(CONTINUATION)}") {
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamAnswerGroupTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/StreamAnswerGroupTest.kt
@@ -29,7 +29,8 @@
         asked.map { it.group } shouldBe listOf(ENGINE_GROUP, SECOND_GROUP)
 
         val answers = asked.map { question ->
-            StreamAnswer(question.stream, soleVersion = FIRST_VERSION.takeIf { question.group == SECOND_GROUP })
+            val soleVersion = FIRST_VERSION.takeIf { question.group == SECOND_GROUP }
+            StreamAnswer(question.stream, question.group, soleVersion = soleVersion)
         }
         router.post(ReportAnswered(ReportAnswer(true, null, emptyList(), streams = answers), null))
         val sent = router.sentAttempts.filter { it.upstream.group == ENGINE_GROUP }
