Record the origin of streams on routes with several groups

Cause: the group was drawn before the origin was known, the only version of that group was taken for the origin, and it was remembered and passed on to other routers.

Change: streams of such routes are reported to the leader, with ordinary reports if no group has several versions. The only version of a group is an answer only on a route with one group, and is not remembered.

A route that moves to another group between two tries of a caller is not covered.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -64,7 +64,7 @@
                 )
             }
             .withReportedLoad(phase, message.load, now)
-            .withOrigin(streamDigestOf(request.organisation, request.head.callId), originOf(request, phase), now)
+            .withOrigin(request.ownStream, originOf(request, phase), request.isSplit, now)
             .let { it.copy(requests = it.requests.put(request.number, startedRequest)) }
     }
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
@@ -28,6 +28,9 @@
 /** Time for which a leader's "unknown" leaves room for the answer of another router that was asked with it. */
 private const val PEER_ANSWER_MILLIS = 30L
 
+/** The source of an origin that is not recorded anywhere: a route that has moved to another group may make it wrong. */
+private const val SOLE_VERSION = "sole_version"
+
 /** Part of the time left that a request may wait for its origin. */
 private const val WAIT_DIVISOR = 3
 
@@ -75,9 +78,10 @@
         val soleVersion = answer.soleVersion
         return when {
             origin != null -> tables.withResolved(request, origin, "leader", settings, now)
-            soleVersion != null -> {
+            // The group was drawn by chance and may not be the one that began the stream.
+            soleVersion != null && !request.isSplit -> {
                 val soleOrigin = StreamOrigin(request.group, soleVersion)
-                tables.withResolved(request, soleOrigin, "sole_version", settings, now)
+                tables.withResolved(request, soleOrigin, SOLE_VERSION, settings, now)
             }
             else -> ForwardingStep(tables.withUnknownOrigin(request, now))
         }
@@ -127,7 +131,8 @@
         "software_version" to origin.version,
         "waited_ms" to now - request.arrivedAt,
     )
-    val known = request.continuedStream?.let { withOrigin(it, origin, now) } ?: this
+    val recordedStream = request.continuedStream.takeIf { source != SOLE_VERSION }
+    val known = recordedStream?.let { withOrigin(it, origin, request.isSplit, now) } ?: this
     val next = known.copy(streams = known.streams.withoutAwaiting(request.number))
     val row = request.copy(group = origin.group, streamVersion = origin.version)
     val isOnRoute = request.route.targets.any { it.group == origin.group }
@@ -160,7 +165,7 @@
     val times = settings.times
     val interval = when {
         isAsking && hasContact -> times.allowanceRequestIntervalMillis
-        streams.unreported.isNotEmpty() && !isControlLost(now, settings) ->
+        streams.isReportUrgent && !isControlLost(now, settings) ->
             (times.streamReportMillisPerRouter * fleet.routers.size)
                 .coerceIn(MINIMUM_STREAM_REPORT_MILLIS, times.reportIntervalMillis)
         else -> return this
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
@@ -48,14 +48,23 @@
 internal val RequestRow.continuedStream: StreamDigest?
     get() = head.continuation?.firstCallId?.let { streamDigestOf(organisation, it) }
 
-internal fun ForwardingTables.withOrigin(stream: StreamDigest, origin: StreamOrigin, now: Timestamp): ForwardingTables {
+/**
+ * Remembers the origin of [stream], and reports it to the leader if its group has several versions or [isSplit]: the
+ * stream can have begun in several groups.
+ */
+internal fun ForwardingTables.withOrigin(
+    stream: StreamDigest,
+    origin: StreamOrigin,
+    isSplit: Boolean,
+    now: Timestamp,
+): ForwardingTables {
     val isKnown = stream in streams.origins || streams.origins.size >= MAXIMUM_ORIGINS
     if (isKnown) return this
-    val isMixed = origin.group in streams.mixedGroups
+    val isReported = isSplit || origin.group in streams.mixedGroups
     val next = streams.copy(
         origins = streams.origins.put(stream, origin),
         expiry = streams.expiry.plus(now + RETENTION_MILLIS, stream),
-        unreported = if (isMixed) streams.unreported.add(stream) else streams.unreported,
+        unreported = if (isReported) streams.unreported.add(stream) else streams.unreported,
     )
     return copy(streams = next)
 }
@@ -104,4 +113,14 @@
 }
 
 /** A request that names no first call asks for its own identity, which no process knows. */
-internal val RequestRow.askedStream: StreamDigest get() = continuedStream ?: streamDigestOf(organisation, head.callId)
+internal val RequestRow.askedStream: StreamDigest get() = continuedStream ?: ownStream
+
+/** Identity of the stream that the request itself begins. */
+internal val RequestRow.ownStream: StreamDigest get() = streamDigestOf(organisation, head.callId)
+
+/** True if a stream of the request's route can have begun in several groups. */
+internal val RequestRow.isSplit: Boolean get() = route.targets.size > 1
+
+/** Streams are to be reported before the next ordinary report. */
+internal val StreamOriginTables.isReportUrgent: Boolean
+    get() = unreported.isNotEmpty() && mixedGroups.isNotEmpty()
