Tell callers to come back for a stream that is not reported yet

Symptom: with more than 16 routers no other router is asked, and begun streams are reported every 400 ms; a take-up within that time was refused for good although the leader learns of the stream with the next report. Also, a router without contact with control kept the streams to report after it had forgotten their origins (199 of 200 after 61 s).

Cause: a leader's "unknown" was taken as final, and the expiry of origins left the backlog of the report as it was.

Change: the refusal names the interval of reports as its retry time, and the expiry takes a stream out of the backlog.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
@@ -41,14 +41,15 @@
         }
     }
 
-    /** A stream that the leader does not know stays unknown, so this refusal has no retry time. */
+    /** The router that began the stream may still report it, and control may be reached again. */
     private fun refuseUnknownStream(
         tables: ForwardingTables,
         request: RequestRow,
         phase: AwaitingOrigin,
         now: Timestamp,
     ): ForwardingStep {
-        val retryAfter = settings.times.otherRouterRetryAfterMillis.takeIf { !phase.isUnknownToLeader }
+        val times = settings.times
+        val retryAfter = if (phase.isUnknownToLeader) times.reportIntervalMillis else times.otherRouterRetryAfterMillis
         return refuseRequest(tables, request, RefusalReason.UNKNOWN_STREAM, retryAfter, now)
     }
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
@@ -75,7 +75,8 @@
 internal fun StreamOriginTables.withoutExpired(now: Timestamp): StreamOriginTables {
     val due = expiry.take(now)
     if (due.entries.isEmpty()) return this
-    return copy(origins = due.entries.fold(origins) { table, entry -> table.remove(entry.id) }, expiry = due.rest)
+    val left = due.entries.fold(origins) { table, entry -> table.remove(entry.id) }
+    return copy(origins = left, expiry = due.rest, unreported = unreported.removeAll { it !in left })
 }
 
 /** Streams that began before their group had several versions are reported from now on too. */
