Tell callers to come back for a version that the list does not have yet

Symptom: another router named the version that began a stream before this router's list had it, and the caller was refused for good (version_gone).

Cause: a version without upstreams in the list was taken for one that had left it.

Change: the refusal has a retry time unless the list has the version with upstreams that are leaving.

Result: the second case of ContinuationRefusalTest failed before and passes.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.Fact
+import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.LogDecision
 import org.ibismoor.forwarding.api.NotExecuted
@@ -64,9 +65,22 @@
     )
 }
 
-/** The version does not come back, so this refusal has no retry time. */
-internal fun refuseVersionGone(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep =
-    refuseRequest(tables, request, RefusalReason.VERSION_GONE, retryAfterMillis = null, now)
+/**
+ * Refuses to continue a stream, since no upstream of its version serves. A version that the list does not have may be
+ * newer than the list, so the caller is told to come back; one whose upstreams are leaving does not come back.
+ */
+internal fun refuseVersionGone(
+    tables: ForwardingTables,
+    request: RequestRow,
+    settings: ForwardingSettings,
+    now: Timestamp,
+): ForwardingStep {
+    val isListed = tables.upstreams.values.any {
+        it.entry.group == request.group && it.entry.version == request.streamVersion
+    }
+    val retryAfter = settings.times.retryAfterMillis.takeIf { !isListed }
+    return refuseRequest(tables, request, RefusalReason.VERSION_GONE, retryAfter, now)
+}
 
 /** Which of the two bounds ends the request first: its caller's deadline or the timeout of its route. */
 private fun limitText(request: RequestRow): String {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -43,7 +43,7 @@
         val candidates = candidates(tables, request, now)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
-            tables.isVersionGone(request) -> refuseVersionGone(tables, request, now)
+            tables.isVersionGone(request) -> refuseVersionGone(tables, request, settings, now)
             else -> {
                 val retryAfterMillis = retryAfterMillis(tables, request, now)
                 refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOriginSystem.kt
@@ -136,7 +136,7 @@
     val next = known.copy(streams = known.streams.withoutAwaiting(request.number))
     val row = request.copy(group = origin.group, streamVersion = origin.version)
     val isOnRoute = request.route.targets.any { it.group == origin.group }
-    val step = if (isOnRoute) admitResolved(next, row, settings, now) else refuseVersionGone(next, row, now)
+    val step = if (isOnRoute) admitResolved(next, row, settings, now) else refuseVersionGone(next, row, settings, now)
     return ForwardingStep(step.tables, listOf(decision) + step.effects)
 }
 
