Keep OkHttp from sending a request again after an error status

Symptom: a booking that an upstream answered with 503 and Retry-After: 0 reached the upstream twice, so a request that is not idempotent could run more than once. A booking answered with 407 came back as 502.

Cause: OkHttp's follow-up step sends a request again after a 503 with Retry-After: 0, even with retryOnConnectionFailure(false), and throws on a 407 from a server that is no proxy, which the router takes for a lost answer.

Change: createOkHttpClient adds a network interceptor that moves error statuses out of the range of HTTP, so that the follow-up step acts on none, and an application interceptor that restores them. Headers and bodies are not touched.

--- a/transport/src/main/kotlin/org/ibismoor/transport/api/HttpClients.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/HttpClients.kt
@@ -10,6 +10,7 @@
 import okhttp3.Protocol
 import org.ibismoor.transport.internal.OkHttpInternalClient
 import org.ibismoor.transport.internal.SendListener
+import org.ibismoor.transport.internal.withoutErrorFollowUps
 import java.util.concurrent.TimeUnit
 
 /** Shorter than the idle timeout of the servers, so that a server rarely closes a pooled connection. */
@@ -28,6 +29,7 @@
         .retryOnConnectionFailure(false)
         .eventListener(SendListener)
         .followRedirects(false)
+        .withoutErrorFollowUps()
         .protocols(listOf(Protocol.HTTP_1_1))
         .connectionPool(ConnectionPool(settings.maximumCalls, CONNECTION_KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
         .dispatcher(createDispatcher(settings.maximumCalls))
