--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationSettings.kt
@@ -89,7 +89,10 @@
     val probeTurnMillis: Long = PROBE_TURN_MILLIS,
     /** A quarantine whose probe has been due for this long without a request is dropped. */
     val idleQuarantineMillis: Long = IDLE_QUARANTINE_MILLIS,
-    /** A caller continues a stream no later than this after its version has left the platform's list. */
+    /**
+     * A version that has left the platform's list for this long is forgotten. It exceeds the time for which callers
+     * continue streams, since routes time out after seconds.
+     */
     val streamRetentionMillis: Long = STREAM_RETENTION_MILLIS,
     /** Entries and command characters after which a snapshot replaces the log. */
     val snapshotEntries: Int = SNAPSHOT_ENTRIES,
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamEvidence.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamEvidence.kt
@@ -11,7 +11,7 @@
 
 @Serializable
 data class StreamEvidence(
-    /** Streams that have begun at the router in groups with several software versions. */
+    /** Streams that the router knows in groups with several software versions, or on routes with several groups. */
     val begun: List<BegunStreams> = emptyList(),
     /** Streams that callers want to continue and whose origin the router does not know. */
     val asked: List<StreamQuestion> = emptyList(),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/StreamTables.kt
@@ -1,6 +1,6 @@
 /**
  * What the fleet remembers of the beginnings of streams, part of the replicated state: it outlasts a loss of power of
- * all VMs. A group with one software version needs no record of its streams.
+ * all VMs. A stream of a route with one group that has had one software version needs no record.
  */
 package org.ibismoor.coordination.api
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/StreamOriginTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/StreamOriginTables.kt
@@ -21,7 +21,7 @@
     val expiry: DueQueue<StreamDigest> = DueQueue.empty(),
     /** Groups in which a stream can have begun at several software versions; the leader records their streams. */
     val mixedGroups: PersistentSet<UpstreamGroupId> = persistentHashSetOf(),
-    /** Streams of [mixedGroups] that are to be reported to the leader. */
+    /** Streams of [mixedGroups], or of routes with several groups, that are to be reported to the leader. */
     val unreported: PersistentList<StreamDigest> = persistentListOf(),
     /** Those in the report in flight. */
     val inReport: PersistentList<StreamDigest> = persistentListOf(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/StreamOrigins.kt
@@ -25,7 +25,7 @@
 /** 64 bits: a collision among the streams of a minute stays out of the question. */
 private const val DIGEST_BYTES = 8
 
-/** No caller continues a stream later than this after its first event. */
+/** Longer than a caller goes on with a stream: routes time out after seconds. */
 private const val RETENTION_MILLIS = 60_000L
 
 /** Beyond this limit new streams are not remembered here. */
