Read load reports with a fourth figure

Cause: a report with the present duration of work was dropped whole, so the selection knew no load of such upstreams. Change: the figure is kept as workTimePercent; the selection does not use it yet.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AttemptResult.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AttemptResult.kt
@@ -6,7 +6,13 @@
 sealed interface AttemptResult
 
 /** Load that an upstream reported with an answer. */
-data class ReportedLoad(val running: Int, val waiting: Int, val slots: Int)
+data class ReportedLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+    /** How long work takes at this moment, in percent of the usual time; null if the upstream does not report it. */
+    val workTimePercent: Int? = null,
+)
 
 /** The caller has received a complete and successful answer. [events] is 0 for an answer that is not a stream. */
 data class Delivered(val events: Int, val load: ReportedLoad?) : AttemptResult
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -29,7 +29,14 @@
 }
 
 /** Load that an upstream reported with an answer. */
-data class UpstreamLoad(val running: Int, val waiting: Int, val slots: Int, val reportedAt: Timestamp)
+data class UpstreamLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+    val reportedAt: Timestamp,
+    /** As in [ReportedLoad.workTimePercent]. */
+    val workTimePercent: Int? = null,
+)
 
 /** Failures of an upstream. [rate] is the exponentially weighted fraction of failed requests at [updatedAt]. */
 data class FailureRow(
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/UpstreamHealth.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/UpstreamHealth.kt
@@ -43,7 +43,10 @@
 ): ForwardingTables {
     if (load == null) return this
     return withUpdatedUpstream(phase) {
-        it.copy(load = UpstreamLoad(load.running, load.waiting, load.slots, now), sentSinceLoad = 0)
+        it.copy(
+            load = UpstreamLoad(load.running, load.waiting, load.slots, now, load.workTimePercent),
+            sentSinceLoad = 0,
+        )
     }
 }
 
