--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -17,4 +17,5 @@
     val retrySlack: Long,
     val retryWindowMillis: Long,
     val times: ForwardingTimes = ForwardingTimes(),
+    val policies: LoadPolicies = LoadPolicies(),
 )
