--- a/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
+++ b/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
@@ -24,6 +24,7 @@
     RATE_LIMITED("rate_limited"),
     QUEUE_FULL("queue_full"),
     QUEUE_DEADLINE("queue_deadline"),
+    NO_MEMORY("no_memory"),
     NO_UPSTREAM("no_upstream"),
     UNKNOWN_STREAM("unknown_stream"),
     VERSION_GONE("version_gone"),
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -10,7 +10,9 @@
 import org.ibismoor.consensus.api.status
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.gateway.internal.withLatencyBuckets
+import org.ibismoor.runtime.api.MemoryBudget
 import org.ibismoor.runtime.api.createMetrics
+import org.ibismoor.runtime.api.registerMemory
 import java.time.Duration
 
 internal class CoordinatorMeters(tables: () -> CoordinationTables) {
@@ -33,6 +35,8 @@
         registerGauge("ibismoor_quarantined_requests") { tables().requestQuarantine.quarantines.size }
     }
 
+    fun registerMemory(memory: MemoryBudget) = registry.registerMemory(memory)
+
     fun recordSync(nanos: Long) = syncs.record(Duration.ofNanos(nanos))
 
     fun countOperatorCall(kind: String, outcome: String) {
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -51,6 +51,7 @@
 import org.ibismoor.gateway.internal.StructuredLog
 import org.ibismoor.gateway.internal.net.ClientPool
 import org.ibismoor.gateway.internal.net.JsonClient
+import org.ibismoor.gateway.internal.net.createProcessMemory
 import org.ibismoor.gateway.internal.net.createTrafficThread
 import org.ibismoor.gateway.internal.net.serveSimple
 import org.ibismoor.runtime.api.ListenAddress
@@ -76,7 +77,8 @@
     private val client = JsonClient(group, ClientPool(group, settings.clientHost))
     private val clock = createClock()
     private val replica = RunningReplica(settings, replicaStore(settings), clock, Listener())
-    private val meters = CoordinatorMeters { replica.tables }
+    private val memory = createProcessMemory()
+    private val meters = CoordinatorMeters { replica.tables }.also { it.registerMemory(memory) }
     private val links = HashMap<ReplicaId, PeerLink>()
     private val operatorReplies = PendingReplies<OperatorAnswer>(OPERATOR_TIMEOUT_MILLIS, Unconfirmed)
     private val reportReplies = PendingReplies(REPORT_TIMEOUT_MILLIS, ReportAnswer(false, null, emptyList()))
@@ -87,7 +89,7 @@
     private var isReadingList = false
 
     fun start() {
-        serveSimple(group, ListenAddress(settings.bindHost, settings.port), ::handleInternalRequest)
+        serveSimple(group, ListenAddress(settings.bindHost, settings.port), memory, ::handleInternalRequest)
         replica.start()
         val interval = settings.listIntervalMillis
         group.scheduleWithFixedDelay(::readUpstreamList, interval, interval, TimeUnit.MILLISECONDS)
@@ -120,7 +122,7 @@
     override fun metrics(): String = meters.scrape()
 
     override fun serve(address: ListenAddress, handler: SimpleHandler) {
-        serveSimple(group, address, handler)
+        serveSimple(group, address, memory, handler)
     }
 
     private fun handleInternalRequest(request: SimpleRequest): CompletableFuture<SimpleAnswer> =
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/net/ClientConnection.kt
@@ -4,9 +4,11 @@
  */
 package org.ibismoor.gateway.internal.net
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
@@ -27,6 +29,7 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val NANOS_PER_MILLI = 1_000_000L
 private const val FIRST_FINAL_STATUS = 200
+private const val BODY_SLICE_BYTES = 64 * 1024
 
 /** Bound on interim answers and answers to other requests, which are skipped; a server can send them endlessly. */
 private const val MAXIMUM_SKIPPED_BYTES = 1024 * 1024L
@@ -58,8 +61,20 @@
         val hasBody = call.body.isNotEmpty() || call.headers.contains(HttpHeaderNames.CONTENT_LENGTH)
         if (hasBody) call.headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         channel.write(head)
-        val body = channel.alloc().buffer(call.body.size.coerceAtLeast(1)).writeBytes(call.body)
-        channel.writeAndFlush(DefaultLastHttpContent(body)).addListener { recordWrite(it.cause()) }
+        writeBody(call.body, 0)
+    }
+
+    /** The connection copies what it writes to memory outside of the heap, so a body is written slice by slice. */
+    private fun writeBody(body: ByteArray, start: Int) {
+        val end = minOf(start + BODY_SLICE_BYTES, body.size)
+        val slice = Unpooled.wrappedBuffer(body, start, end - start)
+        if (end == body.size) {
+            channel.writeAndFlush(DefaultLastHttpContent(slice)).addListener { recordWrite(it.cause()) }
+        } else {
+            channel.writeAndFlush(DefaultHttpContent(slice)).addListener {
+                if (it.isSuccess) writeBody(body, end) else recordWrite(it.cause())
+            }
+        }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/AnswerSink.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/AnswerSink.kt
@@ -10,6 +10,9 @@
     /** Sends a complete answer. */
     fun sendAnswer(status: Int, reason: String, headers: HttpHeaders, body: ByteArray)
 
+    /** Charges [bytes] of an answer that is buffered before it is written. False if there is no room for them. */
+    fun chargeAnswer(bytes: Int): Boolean = true
+
     /** Starts a chunked answer. */
     fun startAnswer(status: Int, reason: String, headers: HttpHeaders)
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -181,7 +181,8 @@
             Mode.CHUNKS -> forward(part.retain())
             Mode.BUFFERED -> {
                 current.add(part)
-                if (current.size > maximumBufferedBytes(current)) startForwarding(current)
+                val hasRoom = exchange.chargeAnswer(part.readableBytes())
+                if (!hasRoom || current.size > maximumBufferedBytes(current)) startForwarding(current)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.forwarding.api.CallerLimits
 import org.ibismoor.gateway.api.HttpDialect
+import org.ibismoor.runtime.api.MemoryBudget
 
 internal interface ConnectionEnvironment {
     val limits: CallerLimits
@@ -14,6 +15,7 @@
     /** True from the moment in a drain at which idle connections are closed. */
     val isClosingIdle: Boolean
     val cuts: CutAnswerRecorder
+    val memory: MemoryBudget
 
     fun registerConnection(connection: CallerConnection)
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CutAnswer.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CutAnswer.kt
@@ -35,6 +35,9 @@
     /** The whole answer was there, but the connection failed while it was written. */
     WRITE_FAILED("write_failed"),
 
+    /** The connection held memory without progress, or its answer found no room. */
+    MEMORY_USED_UP("memory_used_up"),
+
     /** An exception in the router's own code closed the connection. */
     INTERNAL_ERROR("internal_error"),
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Exchange.kt
@@ -231,6 +231,8 @@
         output.sendAnswer(status.code(), status.reasonPhrase(), headers, answer.toByteArray())
     }
 
+    internal fun chargeAnswer(bytes: Int): Boolean = output.chargeAnswer(bytes)
+
     internal fun forward(part: ByteBuf) {
         if (!output.writeBody(part)) attempt?.pauseReading(true)
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestProblem.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestProblem.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
+import org.ibismoor.gateway.internal.net.MemoryRefusedException
 
 internal enum class RequestProblem(val status: HttpResponseStatus, val code: String) {
     MALFORMED(HttpResponseStatus.BAD_REQUEST, "malformed_request"),
@@ -17,11 +18,13 @@
     BODY_TOO_LARGE(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "request_too_large"),
     LINE_TOO_LONG(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request_line_too_long"),
     HEADERS_TOO_LARGE(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers_too_large"),
+    NO_MEMORY(HttpResponseStatus.SERVICE_UNAVAILABLE, "no_memory"),
     UNSUPPORTED_VERSION(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "protocol_version"),
 }
 
 internal fun problemOf(message: HttpObject): RequestProblem =
     when (message.decoderResult().cause()) {
+        is MemoryRefusedException -> RequestProblem.NO_MEMORY
         is TooLongHttpHeaderException -> RequestProblem.HEADERS_TOO_LARGE
         is TooLongHttpLineException -> RequestProblem.LINE_TOO_LONG
         else -> RequestProblem.MALFORMED
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestReader.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RequestReader.kt
@@ -1,5 +1,5 @@
 /**
- * Collects one request and checks it against the limits.
+ * Collects one request and checks it against the limits and the memory budget.
  */
 package org.ibismoor.gateway.internal.router
 
@@ -10,20 +10,42 @@
 import io.netty.handler.codec.http.HttpVersion
 import org.ibismoor.forwarding.api.CallerLimits
 import org.ibismoor.gateway.api.HttpDialect
-import java.io.ByteArrayOutputStream
+import org.ibismoor.gateway.internal.net.ChargedHeaders
+import org.ibismoor.gateway.internal.net.addBuffer
+import org.ibismoor.memory.api.MemoryClass
+import org.ibismoor.runtime.api.ChargedBody
+import org.ibismoor.runtime.api.MemoryAccount
 
 private const val LAST_PRINTABLE_ASCII = '\u007e'
+private const val UNKNOWN_LENGTH = -1L
 
-internal class RequestReader(private val head: HttpRequest, private val limits: CallerLimits, dialect: HttpDialect) {
+internal class RequestReader(
+    private val head: HttpRequest,
+    private val limits: CallerLimits,
+    dialect: HttpDialect,
+    private val account: MemoryAccount,
+) {
     private val fields = dialect.readRequestFields(head.headers())
     private val hosts = head.headers().getAll(HttpHeaderNames.HOST)
-    private val body = ByteArrayOutputStream()
+    private val headProblem = findProblem()
+
+    /** Null if the head is rejected, so that nothing is charged for its body. */
+    private val body: ChargedBody? = if (headProblem == null) createBody() else null
 
     /** The caller's identifier of the request; null without one. */
     val callId: String? get() = fields?.callId
 
-    var problem: RequestProblem? = findProblem()
-        private set
+    val problem: RequestProblem?
+        get() = headProblem ?: when (body?.refusal) {
+            ChargedBody.Refusal.TOO_LARGE -> RequestProblem.BODY_TOO_LARGE
+            ChargedBody.Refusal.NO_MEMORY -> RequestProblem.NO_MEMORY
+            null -> null
+        }
+
+    private fun createBody(): ChargedBody {
+        val length = HttpUtil.getContentLength(head, UNKNOWN_LENGTH).takeIf { it != UNKNOWN_LENGTH }
+        return ChargedBody(account, length?.toInt(), limits.bodyBytes)
+    }
 
     private fun findProblem(): RequestProblem? =
         when {
@@ -38,20 +60,27 @@
         head.uri().startsWith('/') && head.uri().all { it in '!'..LAST_PRINTABLE_ASCII }
 
     fun add(part: ByteBuf) {
-        when {
-            problem != null -> Unit
-            body.size() + part.readableBytes() > limits.bodyBytes -> problem = RequestProblem.BODY_TOO_LARGE
-            else -> part.getBytes(part.readerIndex(), body, part.readableBytes())
+        body?.addBuffer(part)
+    }
+
+    /** The whole request; null if it has a [problem]. */
+    fun buildRequest(): ReceivedRequest? {
+        val bytes = if (problem == null) body?.take() else null
+        return bytes?.let {
+            ReceivedRequest(
+                method = head.method(),
+                uri = head.uri(),
+                host = hosts.single().substringBefore(':').lowercase(),
+                headers = head.headers(),
+                fields = checkNotNull(fields) { "request without valid header fields; check problem first" },
+                body = it,
+            )
         }
     }
 
-    fun buildRequest(): ReceivedRequest =
-        ReceivedRequest(
-            method = head.method(),
-            uri = head.uri(),
-            host = hosts.single().substringBefore(':').lowercase(),
-            headers = head.headers(),
-            fields = checkNotNull(fields) { "request without valid header fields; check problem first" },
-            body = body.toByteArray(),
-        )
+    /** Returns the memory of the request to the budget. */
+    fun release() {
+        body?.release()
+        account.release(MemoryClass.HEADS, (head.headers() as? ChargedHeaders)?.chargedBytes ?: 0)
+    }
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -12,9 +12,12 @@
 import org.ibismoor.forwarding.api.Decision
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.gateway.internal.withLatencyBuckets
+import org.ibismoor.runtime.api.MemoryBudget
 import org.ibismoor.runtime.api.createMetrics
+import org.ibismoor.runtime.api.registerMemory
 import java.time.Duration
 
+@Suppress("TooManyFunctions") // one function for each metric
 internal class RouterMeters(tables: () -> ForwardingTables, droppedLines: () -> Long) {
     private val registry: PrometheusMeterRegistry = createMetrics("router")
     private val durations =
@@ -36,6 +39,8 @@
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
 
+    fun registerMemory(memory: MemoryBudget) = registry.registerMemory(memory)
+
     fun countRefusal(reason: RefusalReason, outcome: Outcome) = countRefusal(reason.code, outcome.text)
 
     fun countRejection(problem: RequestProblem) = countRefusal(problem.code, Outcome.NOT_RUN.text)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -25,23 +26,34 @@
 import org.ibismoor.gateway.internal.net.AnswerEncoder
 import org.ibismoor.gateway.internal.net.ClientPool
 import org.ibismoor.gateway.internal.net.StrictRequestDecoder
+import org.ibismoor.gateway.internal.net.createProcessMemory
 import org.ibismoor.gateway.internal.net.serverBootstrap
 import org.ibismoor.runtime.api.ListenAddress
+import org.ibismoor.runtime.api.MemoryBudget
+import org.ibismoor.runtime.api.performEach
 import java.util.concurrent.TimeUnit
 
 private const val EXPIRY_CHECK_MILLIS = 1_000L
+private const val SMALLEST_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2 * 1024
+private const val LARGEST_READ_BYTES = 16 * 1024
 
-@Suppress("TooManyFunctions") // it is the environment of exchanges and of caller connections
+@Suppress("TooManyFunctions", "LongParameterList") // it is the environment of exchanges and of caller connections
 internal class RouterTraffic(
     private val group: EventLoopGroup,
     override val pool: ClientPool,
     override val dialect: HttpDialect,
     override val meters: RouterMeters,
     override val cuts: CutAnswerRecorder,
+    override val memory: MemoryBudget = createProcessMemory(),
+    private val reportFailure: (ForwardingEffect, Throwable) -> Unit = { _, _ -> },
     private val postMessage: (ForwardingMessage) -> Unit,
 ) : ExchangeEnvironment, ConnectionEnvironment {
     override val allocator: ByteBufAllocator = UnpooledByteBufAllocator.DEFAULT
     override val eventLoop: EventLoop = group.next()
+
+    /** A connection may hold one read that was not decoded yet; reads of 64 KiB by 400 callers exceed direct memory. */
+    private val readSizes = AdaptiveRecvByteBufAllocator(SMALLEST_READ_BYTES, FIRST_READ_BYTES, LARGEST_READ_BYTES)
     private val exchanges = HashMap<RequestNumber, Exchange>()
     private val connections = HashSet<CallerConnection>()
     private var nextNumber = 1L
@@ -65,12 +77,16 @@
     fun listen(address: ListenAddress) {
         server = serverBootstrap(group)
             .childOption(ChannelOption.ALLOCATOR, allocator)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, readSizes)
             .childHandler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
                         val encoder = AnswerEncoder()
-                        val connection = CallerConnection(encoder, this@RouterTraffic)
-                        channel.pipeline().addLast(StrictRequestDecoder(limits.headerBytes), encoder, connection)
+                        lateinit var connection: CallerConnection
+                        val account = memory.open { channel.eventLoop().execute { connection.evict() } }
+                        connection = CallerConnection(encoder, account, this@RouterTraffic)
+                        val decoder = StrictRequestDecoder(limits.headerBytes, account, limits.headerLines)
+                        channel.pipeline().addLast(decoder, encoder, connection)
                     }
                 },
             )
@@ -100,7 +116,8 @@
         connections.toList().forEach { it.checkIdle(now) }
     }
 
-    fun perform(effects: List<ForwardingEffect>) = effects.forEach(::perform)
+    /** Each effect belongs to another request, so one that throws must not drop those behind it. */
+    fun perform(effects: List<ForwardingEffect>) = performEach(effects, reportFailure, ::perform)
 
     private fun perform(effect: ForwardingEffect) {
         when (effect) {
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -44,11 +44,14 @@
 import org.ibismoor.gateway.internal.net.ClientPool
 import org.ibismoor.gateway.internal.net.DocumentClient
 import org.ibismoor.gateway.internal.net.JsonClient
+import org.ibismoor.gateway.internal.net.createProcessMemory
 import org.ibismoor.gateway.internal.net.createTrafficThread
+import org.ibismoor.gateway.internal.net.restartIfHeapIsExhausted
 import org.ibismoor.gateway.internal.net.serveSimple
 import org.ibismoor.runtime.api.ControlLoop
 import org.ibismoor.runtime.api.ListenAddress
 import org.ibismoor.runtime.api.createClock
+import org.ibismoor.runtime.api.performEach
 import org.ibismoor.runtime.api.startControlThread
 import java.security.SecureRandom
 import java.util.concurrent.CompletableFuture
@@ -74,8 +77,10 @@
         clock,
         ::perform,
     )
-    private val meters = RouterMeters({ loop.tables }, { log.droppedLines })
-    private val traffic = RouterTraffic(group, pool, formats.dialect, meters, ::recordCut, loop::post)
+    private val memory = createProcessMemory()
+    private val meters = RouterMeters({ loop.tables }, { log.droppedLines }).also { it.registerMemory(memory) }
+    private val traffic =
+        RouterTraffic(group, pool, formats.dialect, meters, ::recordCut, memory, ::reportFailedEffect, loop::post)
     private val loans = Loans(client, settings.routerPort, loop::post)
     private val notices = LoadNotices(client, settings.routerPort, meters, loop::post)
     private val contacts =
@@ -101,7 +106,7 @@
     override fun metrics(): String = meters.scrape()
 
     override fun serve(address: ListenAddress, handler: SimpleHandler) {
-        serveSimple(group, address, handler)
+        serveSimple(group, address, memory, handler)
     }
 
     override fun updateControlHosts(hosts: List<String>) {
@@ -112,24 +117,31 @@
     /** Effects on exchanges keep their order, since the single traffic thread performs all of them. */
     private fun perform(@Suppress("UNUSED_PARAMETER") tables: ForwardingTables, effects: List<ForwardingEffect>) {
         if (effects.isEmpty()) return
-        effects.forEach { effect ->
-            when (effect) {
-                is SendReport -> sendReport(effect)
-                is FetchConfiguration -> fetcher.fetch(effect)
-                is SendLoadNotice -> notices.send(effect)
-                is AskContact -> contacts.ask(effect)
-                is AskOrigins -> origins.ask(effect)
-                is RequestLoan -> loans.requestLoan(effect)
-                is AnswerLoan -> loans.answerLoan(effect)
-                is ApplyConfiguration -> traffic.limits = effect.configuration.limits
-                is LogDecision -> {
-                    meters.countDecision(effect.decision)
-                    log.writeDecision(effect.decision)
-                }
-                else -> Unit
+        performEach(effects, ::reportFailedEffect, ::perform)
+        group.execute { traffic.perform(effects) }
+    }
+
+    private fun perform(effect: ForwardingEffect) {
+        when (effect) {
+            is SendReport -> sendReport(effect)
+            is FetchConfiguration -> fetcher.fetch(effect)
+            is SendLoadNotice -> notices.send(effect)
+            is AskContact -> contacts.ask(effect)
+            is AskOrigins -> origins.ask(effect)
+            is RequestLoan -> loans.requestLoan(effect)
+            is AnswerLoan -> loans.answerLoan(effect)
+            is ApplyConfiguration -> traffic.limits = effect.configuration.limits
+            is LogDecision -> {
+                meters.countDecision(effect.decision)
+                log.writeDecision(effect.decision)
             }
+            else -> Unit
         }
-        group.execute { traffic.perform(effects) }
+    }
+
+    private fun reportFailedEffect(effect: ForwardingEffect, cause: Throwable) {
+        log.write("effect_failed", "effect" to effect.javaClass.simpleName, "problem" to cause.toString())
+        restartIfHeapIsExhausted(cause)
     }
 
     private fun handlePeerRequest(request: SimpleRequest): CompletableFuture<SimpleAnswer> =
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
@@ -12,6 +12,7 @@
 import org.ibismoor.forwarding.api.CallerLimits
 import org.ibismoor.gateway.internal.net.AnswerEncoder
 import org.ibismoor.gateway.internal.net.StrictRequestDecoder
+import org.ibismoor.gateway.internal.net.createProcessMemory
 import org.ibismoor.gateway.internal.router.AnswerSink
 import org.ibismoor.gateway.internal.router.CallerConnection
 import org.ibismoor.gateway.internal.router.ConnectionEnvironment
@@ -34,8 +35,10 @@
     override val isDraining = false
     override val isClosingIdle = false
     override val cuts = CutAnswerRecorder { recordedCuts += it }
-    val connection = CallerConnection(AnswerEncoder(), this)
-    val channel = EmbeddedChannel(StrictRequestDecoder(HEADER_BYTES), AnswerEncoder(), connection)
+    override val memory = createProcessMemory()
+    private val account = memory.open { }
+    val connection = CallerConnection(AnswerEncoder(), account, this)
+    val channel = EmbeddedChannel(StrictRequestDecoder(HEADER_BYTES, account), AnswerEncoder(), connection)
 
     fun receive(text: String) {
         channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.ISO_8859_1))
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/ConfigurationDistributionTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/ConfigurationDistributionTest.kt
@@ -101,7 +101,7 @@
 
     init {
         val list = SimpleHandler { CompletableFuture.completedFuture(SimpleAnswer(200, "[]")) }
-        serveSimple(group, ListenAddress(HOST, listPort), list)
+        serveSimple(group, ListenAddress(HOST, listPort), handler = list)
         router = startRouter(routerSettings(), formats)
     }
 
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RouterFixture.kt
@@ -41,7 +41,7 @@
 
     init {
         val control = SimpleHandler { CompletableFuture.completedFuture(SimpleAnswer(200, reportAnswer())) }
-        serveSimple(group, ListenAddress("127.0.0.1", controlPort), control)
+        serveSimple(group, ListenAddress("127.0.0.1", controlPort), handler = control)
         process = startRouter(settings(), testFormats)
         waitUntil { process.isReady }
     }
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/SimpleServerTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/SimpleServerTest.kt
@@ -24,7 +24,7 @@
             val delay = if (request.path == "/slow") LATENCY_MILLIS else 0
             answer.completeOnTimeout(SimpleAnswer(200, "[${request.path}]"), delay, TimeUnit.MILLISECONDS)
         }
-        val channel = serveSimple(group, ListenAddress("127.0.0.1", 0), handler)
+        val channel = serveSimple(group, ListenAddress("127.0.0.1", 0), handler = handler)
         val port = (channel.localAddress() as InetSocketAddress).port
         exchange(port, listOf("/slow", "/fast", "/slow", "/last")) shouldContainExactly
             listOf("[/slow]", "[/fast]", "[/slow]", "[/last]")
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/TransferCodingTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/TransferCodingTest.kt
@@ -91,7 +91,7 @@
         paths += it.path
         CompletableFuture.completedFuture(SimpleAnswer(200, "done"))
     }
-    val channel = serveSimple(group, ListenAddress("127.0.0.1", 0), handler)
+    val channel = serveSimple(group, ListenAddress("127.0.0.1", 0), handler = handler)
     return try {
         Socket("127.0.0.1", (channel.localAddress() as InetSocketAddress).port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MILLIS
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterAssembly.kt
@@ -16,8 +16,10 @@
 import org.ibismoor.routing.api.createRouting
 import org.ibismoor.routing.api.initialRoutingTables
 import org.ibismoor.runtime.api.ControlLoop
+import org.ibismoor.runtime.api.MemoryBudget
 import org.ibismoor.runtime.api.createClock
 import org.ibismoor.runtime.api.createLog
+import org.ibismoor.runtime.api.createMemoryBudget
 import org.ibismoor.transport.api.CallerHandler
 import org.ibismoor.transport.api.ClientSettings
 import org.ibismoor.transport.api.ConnectionCutListener
@@ -41,21 +43,27 @@
     val handler = CompletableFuture<CallerHandler>()
     val serverSettings = ServerSettings(settings.host, settings.port, settings.httpLimits)
     val cutListener = CompletableFuture<ConnectionCutListener>()
+    val memory = createMemoryBudget()
     val server = createServer(
         serverSettings,
         { cut -> cutListener.thenAccept { it.onCut(cut) } },
+        memory,
     ) { request, caller -> handler.join().handle(request, caller) }.start()
-    val router = RunningRouter(settings, server)
+    val router = RunningRouter(settings, server, memory)
     cutListener.complete(router.cutListener)
     handler.complete(router.handler)
     router.start()
     return router
 }
 
-private class RunningRouter(private val settings: RouterSettings, private val server: Http4kServer) : RouterProcess {
+private class RunningRouter(
+    private val settings: RouterSettings,
+    private val server: Http4kServer,
+    memory: MemoryBudget,
+) : RouterProcess {
     private val session = SessionId(UUID.randomUUID().toString())
     private val baseUrl = settings.publicUrl ?: "http://${settings.host}:${server.port()}"
-    private val metrics = RouterMetrics { loop.tables }
+    private val metrics = RouterMetrics(memory) { loop.tables }
     private val cuts = AnswerCuts(createLog("router"), metrics) { loop.tables.view.configuration.number }
     private val registry = StreamRegistry(cuts) { loop.post(RoutingInput(it)) }
     private val internalClient = createInternalClient()
@@ -99,7 +107,9 @@
         val addresses = settings.controlAddresses.associate { it.domain to it.baseUrl.trimEnd('/') }
         val controls = ControlDirectory(addresses) { loop.tables.view.configuration.controlMembers.values }
         val messenger = ControlMessenger(session, controls, internalClient) { loop.post(it) }
-        return RouterEffects(messenger, registry, metrics) { termination.complete(Unit) }
+        return RouterEffects(messenger, registry, metrics, termination::completeExceptionally) {
+            termination.complete(Unit)
+        }
     }
 
     private fun createHandler(): CallerHandler {
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterEffects.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterEffects.kt
@@ -13,15 +13,20 @@
 import org.ibismoor.routing.api.RoutingEffect
 import org.ibismoor.routing.api.SendLedgerRequest
 import org.ibismoor.runtime.api.EffectHandler
+import org.ibismoor.runtime.api.createLog
+import org.ibismoor.runtime.api.performEach
 
 internal class RouterEffects(
     private val messenger: ControlMessenger,
     private val registry: StreamRegistry,
     private val metrics: RouterMetrics,
+    private val onMemoryExhausted: (Throwable) -> Unit,
     private val onDrained: () -> Unit,
 ) : EffectHandler<RouterTables, RouterEffect> {
+    private val log = createLog("router")
+
     override fun perform(tables: RouterTables, effects: List<RouterEffect>) =
-        effects.forEach {
+        performEach(effects, ::reportFailure) {
             when (it) {
                 is RoutingOutput -> perform(it.effect)
                 is SendHeartbeat -> messenger.send(it)
@@ -29,6 +34,11 @@
             }
         }
 
+    private fun reportFailure(effect: RouterEffect, cause: Throwable) {
+        log.error("effect failed", cause, "effect" to effect.javaClass.simpleName)
+        if (cause is OutOfMemoryError) onMemoryExhausted(cause)
+    }
+
     private fun perform(effect: RoutingEffect) =
         when (effect) {
             is Dispatch -> registry.postDecision(effect.stream, StreamDecision.StartAttempt(effect))
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RouterMetrics.kt
@@ -6,11 +6,14 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.ibismoor.routing.api.RoutingEvent
+import org.ibismoor.runtime.api.MemoryBudget
+import org.ibismoor.runtime.api.registerMemory
 
-internal class RouterMetrics(tables: () -> RouterTables?) {
+internal class RouterMetrics(memory: MemoryBudget, tables: () -> RouterTables?) {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
 
     init {
+        registry.registerMemory(memory)
         registry.gauge("ibismoor.router.streams", this) { tables()?.routing?.streams?.size?.toDouble() ?: 0.0 }
         registry.gauge("ibismoor.router.queued", this) { tables()?.routing?.queuedCount?.toDouble() ?: 0.0 }
         registry.gauge("ibismoor.router.configuration", this) {
--- a/transport/src/main/kotlin/org/ibismoor/transport/api/ConnectionCut.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/ConnectionCut.kt
@@ -12,6 +12,9 @@
     /** The connection failed while the body of the request arrived. */
     REQUEST_BROKEN("request_broken"),
 
+    /** The connection held memory without progress that another one needed. */
+    MEMORY_USED_UP("memory_used_up"),
+
     /** The connection failed while an answer that is not streamed was written. */
     ANSWER_UNWRITTEN("answer_unwritten"),
 }
--- a/transport/src/main/kotlin/org/ibismoor/transport/api/HttpServers.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/api/HttpServers.kt
@@ -7,13 +7,23 @@
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kServer
 import org.http4k.server.ServerConfig
+import org.ibismoor.runtime.api.MemoryBudget
+import org.ibismoor.runtime.api.createMemoryBudget
 import org.ibismoor.transport.internal.FlushingServer
 
-fun createServer(settings: ServerSettings, handler: CallerHandler): Http4kServer = createServer(settings, {}, handler)
+fun createServer(settings: ServerSettings, handler: CallerHandler): Http4kServer =
+    createServer(settings, cuts = {}, handler = handler)
 
-/** [cuts] is told of the connections that end without a whole answer. */
-fun createServer(settings: ServerSettings, cuts: ConnectionCutListener, handler: CallerHandler): Http4kServer =
-    FlushingServer(settings, cuts, handler)
+/**
+ * [cuts] is told of the connections that end without a whole answer. What requests hold is charged to [memory], the
+ * budget of the process.
+ */
+fun createServer(
+    settings: ServerSettings,
+    cuts: ConnectionCutListener,
+    memory: MemoryBudget = createMemoryBudget(),
+    handler: CallerHandler,
+): Http4kServer = FlushingServer(settings, cuts, memory, handler)
 
 fun createServerConfig(settings: ServerSettings): ServerConfig =
     object : ServerConfig {
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
@@ -8,6 +8,7 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.handlers.GracefulShutdownHandler
 import org.http4k.server.Http4kServer
+import org.ibismoor.runtime.api.MemoryBudget
 import org.ibismoor.transport.api.CallerHandler
 import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.ServerSettings
@@ -23,6 +24,7 @@
 internal class FlushingServer(
     private val settings: ServerSettings,
     cuts: ConnectionCutListener,
+    memory: MemoryBudget,
     handler: CallerHandler,
 ) : Http4kServer {
     private val workers =
@@ -33,7 +35,7 @@
             TimeUnit.SECONDS,
             SynchronousQueue(),
         )
-    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, cuts, handler))
+    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, cuts, memory, handler))
     private val undertow = build()
 
     override fun start(): Http4kServer = apply { undertow.start() }
