Select upstreams by the expected duration of their work

Cause: all engines counted as equally fast. Where one in four works at half the speed, equal shares make its prompts late while the fast ones idle. Change: the expected work at an upstream is scaled by the duration that it reports at the moment, weighted by age, and by the mean gap between the events of its completed streams relative to its group. Upstreams that report no duration are not measured, so their selection is unchanged. Result: in UnequalEnginesTest, 3,000 prompts of 9,000 tokens in groups of 12 at 12 engines, three of them at 27 and nine at 60 tokens a millisecond: more than 60 first events after 600 ms without the measurement, none with it.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -17,6 +17,8 @@
     val load: UpstreamLoad? = null,
     /** Requests that this router has sent since [load] was reported. */
     val sentSinceLoad: Int = 0,
+    /** Null if nothing was measured, or if the upstream does not report the present duration of its work. */
+    val eventGap: EventGapRow? = null,
     val failures: FailureRow = FailureRow(),
     val availability: AvailabilityRow = AvailabilityRow(),
     /** When this router last sent each prompt part to the upstream, by the identifier of the part. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -106,6 +106,8 @@
         now: Timestamp,
     ): ForwardingStep {
         val cost = tables.costOf(request.copy(mayHaveRun = true), result.events)
+        val phase = request.phase as? AwaitingAnswer
+        val measured = phase?.let { tables.withUpdatedUpstream(it) { row -> row.withMeasuredGap(request, result, now) } }
         val decision = logDecision(
             DecisionKind.REQUEST_ENDED,
             request.head.callId,
@@ -116,7 +118,7 @@
             "first_event_ms" to request.firstEventAt?.let { it - request.arrivedAt },
             "took_ms" to now - request.arrivedAt,
         )
-        return ForwardingStep(tables.withoutRequest(request, cost), listOf(decision))
+        return ForwardingStep((measured ?: tables).withoutRequest(request, cost), listOf(decision))
     }
 
     /** Forwards the failure that the upstream answered, unless a retry at another upstream may succeed. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
@@ -36,16 +36,24 @@
 internal fun engineAwareSelection(): UpstreamSelection =
     UpstreamSelection { candidates, request, now, random ->
         val preferred = preferredEngine(candidates, request)
-        val scores = candidates.map { it to score(it, request, now, it.entry.id == preferred) }
+        val durations = WorkDurations(candidates, now)
+        val scores = candidates.map { it to score(it, request, now, it.entry.id == preferred, durations.of(it)) }
         val best = scores.minOf { (_, score) -> score }
         val ties = scores.filter { (_, score) -> score <= best + TIE_MARGIN }.map { (row, _) -> row }
             .sortedBy { it.entry.id }
         ties[random.below(ties.size.toLong()).toInt()]
     }
 
-private fun score(row: UpstreamRow, request: RequestRow, now: Timestamp, isPreferred: Boolean): Double {
+/** The work that delays the request at the upstream, times the relative [duration] of work there. */
+private fun score(
+    row: UpstreamRow,
+    request: RequestRow,
+    now: Timestamp,
+    isPreferred: Boolean,
+    duration: Double,
+): Double {
     val failures = row.failures.rateAt(now)
-    val prompt = request.head.prompt ?: return estimatedRequests(row, now) + failures * FAILURE_REQUESTS
+    val prompt = request.head.prompt ?: return plainScore(row, now, duration) + failures * FAILURE_REQUESTS
     val load = row.load
     val weight = load?.let { (1 - (now - it.reportedAt) / LOAD_MAXIMUM_AGE_MILLIS).coerceIn(0.0, 1.0) } ?: 0.0
     val waiting = (load?.waiting ?: 0) * weight * TOKENS_PER_WAITING
@@ -53,7 +61,13 @@
     val shared = prompt.parts.dropLast(1).sumOf { it.tokens }
     val affinity = if (isPreferred) shared * AFFINITY_FACTOR else 0.0
     val pending = uncachedTokens(row, request) + row.pendingPromptTokens + row.peerPendingTokens(now)
-    return pending + waiting + running + failures * FAILURE_TOKENS - affinity
+    return (pending + waiting + running) * duration + failures * FAILURE_TOKENS - affinity
+}
+
+/** Requests at the upstream and, where work takes longer or shorter than usual, the difference for this request. */
+private fun plainScore(row: UpstreamRow, now: Timestamp, duration: Double): Double {
+    val requests = estimatedRequests(row, now)
+    return requests * duration + row.entry.slots * (duration - 1)
 }
 
 /** Estimated requests at the upstream, from this router's own count and the last reported load. */
