--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -107,7 +107,9 @@
     ): ForwardingStep {
         val cost = tables.costOf(request.copy(mayHaveRun = true), result.events)
         val phase = request.phase as? AwaitingAnswer
-        val measured = phase?.let { tables.withUpdatedUpstream(it) { row -> row.withMeasuredGap(request, result, now) } }
+        val measured = phase?.let {
+            tables.withUpdatedUpstream(it) { row -> row.withMeasuredGap(request, result, now) }
+        }
         val decision = logDecision(
             DecisionKind.REQUEST_ENDED,
             request.head.callId,
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/UnequalEnginesTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/UnequalEnginesTest.kt
@@ -1,6 +1,6 @@
 /**
- * Load: groups of long prompts at engines of which one in four works at half the speed of the others. An engine processes
- * its prompts one after the other.
+ * Load: groups of long prompts at engines of which one in four works at half the speed of the others. An engine
+ * processes its prompts one after the other.
  */
 package org.ibismoor.forwarding
 
