Place callers by the room of each router

Cause: address answers named only the routers of the caller's failure domain, and callers keep their connections. A router that was chosen early carried nearly all requests, and a failure domain with half of the requests and 16 of 72 routers was overloaded beside idle ones.

An answer is a draw of ten routers in proportion to room, near routers preferred as long as they are below 1.15 to 1.3 times the mean load, valid for 1 to 3 s. A router above 1.5 times the mean closes up to five connections a second after an answer. Without the leader the last list is used, after 3 s by cores. In automatic placement the leader decides by the cores of the routers outside the VMs of replicas. With domain, reports and answers are unchanged byte for byte.

Tests run: CallerPlacementTest, AddressAnswerTest, CallerRoutersTest, CallerAddressesTest, SeparatedRouterTest, CallerConnectionTest, EffectFailureTest, ReportEncodingTest, DrainedConnectionTest, ForwardingPathTest, PolicySettingsTest, ReportAnswerTest and the purity tests, all passed. No run of the real processes.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -88,6 +88,7 @@
     val session: SessionId,
     /** Last reported usage of each organisation. */
     val usage: Map<OrganisationId, AllowanceUsage>,
+    val isPlacementAutomatic: Boolean = false,
 )
 
 /** The leader that an answer to a join request last named at [leaderNamedAt], and the time of the next request. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/RouterReport.kt
@@ -30,4 +30,6 @@
     val requests: RequestEvidence? = null,
     /** Null if the router has nothing to report or ask on the beginnings of streams. */
     val streams: StreamEvidence? = null,
+    /** Callers are placed by room only if the routers are unequal; the entry of the router has a room all the same. */
+    val isPlacementAutomatic: Boolean = false,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/RouterSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/RouterSystem.kt
@@ -42,6 +42,7 @@
             requestsPerSecond = report.requestsPerSecond,
             session = report.session,
             usage = report.usage.associateBy { it.organisation },
+            isPlacementAutomatic = report.isPlacementAutomatic,
         )
         return tables.copy(routers = tables.routers.put(report.router, row))
     }
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/CallerRoutersTest.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/CallerRoutersTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.core.spec.style.StringSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.toPersistentHashMap
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationStart
@@ -37,8 +38,39 @@
         callerHosts(fleet(requestsPerSecond = 10.0, unlisted = HOSTS.drop(1))) shouldContainExactly
             HOSTS.take(1) + OTHER_HOSTS
     }
+
+    "callers that are placed by room are sent to all routers" {
+        val routers = fleet(requestsPerSecond = 10.0).withRooms(isAutomatic = false)
+        callerHosts(routers) shouldContainExactly HOSTS + OTHER_HOSTS
+    }
+
+    "an automatic placement is by room only if routers beside the colocated ones are unequal" {
+        // Guards against a change for deployments in service, whose routers are equal.
+        val equal = fleet(requestsPerSecond = 10.0).withRooms(isAutomatic = true)
+        callerHosts(equal) shouldContainExactly HOSTS
+        callerRouters(equal, CoordinationSettings()).mapNotNull { it.entry.room } shouldBe emptyList()
+        val unequal = equal.withRooms(isAutomatic = true, firstOtherCores = 0.5)
+        callerHosts(unequal) shouldContainExactly HOSTS + OTHER_HOSTS
+    }
+
+    "callers are placed by room only if all routers report theirs" {
+        // Guards against a release of which only some processes run: the others answer by failure domain.
+        val routers = fleet(requestsPerSecond = 10.0).withRooms(isAutomatic = false)
+        val first = checkNotNull(routers.routers[RouterId(OTHER_HOSTS.first())])
+        val earlier = first.copy(entry = first.entry.copy(room = null))
+        val mixed = routers.copy(routers = routers.routers.put(RouterId(OTHER_HOSTS.first()), earlier))
+        callerHosts(mixed) shouldContainExactly HOSTS
+    }
 })
 
+private fun CoordinationTables.withRooms(isAutomatic: Boolean, firstOtherCores: Double = 1.0): CoordinationTables {
+    val rows = routers.mapValues { (router, row) ->
+        val cores = if (router.text == OTHER_HOSTS.first()) firstOtherCores else 1.0
+        row.copy(entry = row.entry.copy(room = 10, cores = cores), isPlacementAutomatic = isAutomatic)
+    }
+    return copy(routers = rows.toPersistentHashMap())
+}
+
 private fun callerHosts(tables: CoordinationTables): List<String> =
     callerRouters(tables, CoordinationSettings()).map { it.entry.address.substringBefore(':') }
 
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
@@ -0,0 +1,65 @@
+/**
+ * The answer to a caller that asks which routers to use. Placed by room, each answer is a draw of a few routers, in
+ * which a router appears in proportion to its room. Callers keep connections to the routers of their answer, so an
+ * answer with all of them would leave most requests at those that were chosen first.
+ */
+package org.ibismoor.forwarding.api
+
+import org.ibismoor.coordination.api.RouterEntry
+import org.ibismoor.coordination.api.RouterState
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.SeededRandom
+import org.ibismoor.core.api.Timestamp
+import org.ibismoor.forwarding.internal.drawRouters
+
+/** Validity of an answer whose routers are not drawn, in seconds. */
+private const val FIXED_VALIDITY_SECONDS = 1
+
+/** Drawn validities are between 1 s and this, so that callers that asked together do not ask together again. */
+private const val MAXIMUM_VALIDITY_SECONDS = 3L
+
+/** Rooms that the leader sent longer ago than this say less about a router than its cores. */
+private const val MAXIMUM_ROOM_AGE_MILLIS = 3_000L
+private const val STALE_ROOM_PER_CORE = 100.0
+
+data class AddressAnswer(val routers: List<RouterEntry>, val validSeconds: Int)
+
+/** True if [settings] allow the placement by room and the leader's list asks for it. */
+fun ForwardingTables.isPlacedByRoom(settings: ForwardingSettings): Boolean =
+    when (settings.policies.callerPlacement) {
+        CallerPlacement.DOMAIN -> false
+        CallerPlacement.ROOM -> fleet.routers.isNotEmpty()
+        CallerPlacement.AUTO -> fleet.routers.any { it.room != null }
+    }
+
+/** The answer to a caller in [domain]; [answerNumber] differs between answers. */
+fun ForwardingTables.addressAnswer(
+    domain: FailureDomainId,
+    settings: ForwardingSettings,
+    now: Timestamp,
+    answerNumber: Long,
+): AddressAnswer {
+    if (!isPlacedByRoom(settings)) {
+        return AddressAnswer(callerAddresses(domain, settings.entry, now), FIXED_VALIDITY_SECONDS)
+    }
+    val draw = SeededRandom(placement.drawSeed + answerNumber)
+    val offers = offeredRouters(settings, now).associateWith { weightFor(it, domain, now) }
+    val routers = drawRouters(offers, draw)
+    return AddressAnswer(routers, 1 + draw.advance().below(MAXIMUM_VALIDITY_SECONDS).toInt())
+}
+
+/** All routers of the last list. Callers leave out those that fail, and in a partition no list says which do. */
+private fun ForwardingTables.offeredRouters(settings: ForwardingSettings, now: Timestamp): List<RouterEntry> {
+    val own = settings.entry.copy(room = placement.room, loadPerMille = placement.loadPerMille)
+    val others = fleet.routers.filter { it.address != own.address }
+    val isListed = others.size < fleet.routers.size
+    val isOffered = state == RouterState.READY && (isListed || !hasLeaderContact(now))
+    return if (isOffered || others.isEmpty()) others + own else others
+}
+
+private fun ForwardingTables.weightFor(entry: RouterEntry, domain: FailureDomainId, now: Timestamp): Double {
+    val age = fleet.leaderAnsweredAt?.let { now - it } ?: Long.MAX_VALUE
+    val room = entry.room?.toDouble()?.takeIf { age <= MAXIMUM_ROOM_AGE_MILLIS } ?: (entry.cores * STALE_ROOM_PER_CORE)
+    val nearFactor = if (entry.domain == domain) placement.nearFactors[domain] ?: 1.0 else 1.0
+    return room.coerceAtLeast(1.0) * nearFactor
+}
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
@@ -38,4 +38,5 @@
     REQUEST_QUARANTINED,
     REQUEST_RELEASED,
     STREAM_CONTINUED,
+    CALLERS_MOVED,
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Forwarding.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Forwarding.kt
@@ -26,6 +26,7 @@
         session = session,
         random = SeededRandom(seed),
         fleet = FleetRow(controlHosts = rotatedHosts(settings.controlHosts, seed), nextReportAt = now),
+        placement = PlacementTables(drawSeed = seed),
     )
 
 /** Routers start with different control processes, so that a start of the fleet spreads the load of first reports. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingEffect.kt
@@ -81,5 +81,8 @@
 /** Apply the configuration that is now in force at this router. */
 data class ApplyConfiguration(val configuration: ForwardingConfiguration) : ForwardingEffect
 
+/** Close up to [perSecond] connections a second after an answer, so that their callers move to other routers. */
+data class MoveCallers(val perSecond: Int) : ForwardingEffect
+
 /** Write a decision to the log. */
 data class LogDecision(val decision: Decision) : ForwardingEffect
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -73,5 +73,8 @@
 /** Another router knows the [origins] of streams that this router has asked for. */
 data class OriginsAnswered(val origins: Map<StreamDigest, StreamOrigin>) : ForwardingMessage
 
+/** The process has measured its [use] of the resources of its VM. */
+data class ResourcesMeasured(val use: ResourceUse) : ForwardingMessage
+
 /** Reloaded settings list the [hosts] of control processes. */
 data class ControlHostsChanged(val hosts: List<String>) : ForwardingMessage
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -18,4 +18,5 @@
     val retryWindowMillis: Long,
     val times: ForwardingTimes = ForwardingTimes(),
     val policies: LoadPolicies = LoadPolicies(),
+    val resources: RouterResources = RouterResources(entry.cores),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -34,6 +34,7 @@
     val prompts: PromptTables = PromptTables(),
     val crashedRequests: CrashedRequestTables = CrashedRequestTables(),
     val streams: StreamOriginTables = StreamOriginTables(),
+    val placement: PlacementTables = PlacementTables(),
 ) {
     val isDraining: Boolean get() = drainStartedAt != null
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -18,6 +18,7 @@
     private val schedule = SystemSchedule(
         listOf(
             FleetSystem(settings),
+            PlacementSystem(settings),
             ContactSystem(settings),
             ConfigurationSystem(settings),
             ArrivalSystem(settings),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ReportSystem.kt
@@ -11,6 +11,7 @@
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.forwarding.api.AllowanceRow
+import org.ibismoor.forwarding.api.CallerPlacement
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -61,7 +62,7 @@
         val tablesWithRate = tables.withRequestRate(seconds)
         val tablesWithDemand = limitedOrganisations(tables).fold(tablesWithRate) { table, organisation ->
             withReturnedSurplus(table, organisation, seconds)
-        }
+        }.withRoom(settings)
         val usage = limitedOrganisations(tables).map { organisation ->
             val row = tablesWithDemand.allowanceOf(organisation)
             AllowanceUsage(
@@ -74,10 +75,11 @@
                 needed = row.shortfall,
             )
         }
+        val placement = tablesWithDemand.placement
         val report = RouterReport(
             router = settings.router,
             session = tables.session,
-            entry = settings.entry,
+            entry = settings.entry.copy(room = placement.room, loadPerMille = placement.loadPerMille),
             state = tables.state,
             configurationVersion = tables.configuration?.version ?: 0,
             upstreamRevision = tables.fleet.upstreamRevision,
@@ -87,6 +89,7 @@
             prompts = promptEvidence(tables.prompts, settings.router, now),
             requests = requestEvidence(tables.crashedRequests, now),
             streams = streamEvidence(tables),
+            isPlacementAutomatic = settings.policies.callerPlacement == CallerPlacement.AUTO,
         )
         val fleet = tablesWithDemand.fleet.copy(isReporting = true, lastReportAt = now)
         val effect = SendReport(fleet.controlHosts.first(), report)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/CallerConnection.kt
@@ -47,6 +47,8 @@
     /** Start of the last request or end of the last answer, from [System.nanoTime]. */
     private var lastActivityAt = System.nanoTime()
 
+    val pendingBytes: Long get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -169,7 +171,9 @@
     }
 
     private fun markConnectionClose(headers: HttpHeaders) {
-        if (environment.isDraining) isKeepAlive = false
+        // A request that was read behind this one would be cut off by the end of the connection.
+        val isMovable = isKeepAlive && pipelined.isEmpty()
+        if (environment.isDraining || isMovable && environment.takeCallerMove()) isKeepAlive = false
         if (!isKeepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/ConnectionEnvironment.kt
@@ -21,5 +21,8 @@
 
     fun startExchange(request: ReceivedRequest, output: AnswerSink): Exchange
 
+    /** True if the caller of an answer is to move to another router; it counts as moved then. */
+    fun takeCallerMove(): Boolean
+
     fun countRejection(problem: RequestProblem)
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -15,6 +15,7 @@
 import org.ibismoor.runtime.api.createMetrics
 import java.time.Duration
 
+@Suppress("TooManyFunctions") // one function for each kind of event
 internal class RouterMeters(tables: () -> ForwardingTables, droppedLines: () -> Long) {
     private val registry: PrometheusMeterRegistry = createMetrics("router")
     private val durations =
@@ -33,6 +34,7 @@
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
+        registry.registerGauge("ibismoor_room_requests_per_second") { tables().placement.room ?: 0 }
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
 
@@ -53,6 +55,8 @@
 
     fun countLostNotice() = Counter.builder("ibismoor_use_notices_lost").register(registry).increment()
 
+    fun countMovedCaller() = Counter.builder("ibismoor_moved_callers").register(registry).increment()
+
     fun recordDuration(nanos: Long) = durations.record(Duration.ofNanos(nanos))
 
     fun recordFirstEvent(nanos: Long) = firstEvents.record(Duration.ofNanos(nanos))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import org.ibismoor.forwarding.api.CallerLimits
+import org.ibismoor.forwarding.api.CallerMoves
 import org.ibismoor.forwarding.api.CancelAttempt
 import org.ibismoor.forwarding.api.ForwardFailure
 import org.ibismoor.forwarding.api.ForwardingEffect
@@ -45,11 +46,15 @@
     private val exchanges = HashMap<RequestNumber, Exchange>()
     private val connections = HashSet<CallerConnection>()
     private var nextNumber = 1L
+    private var moves = CallerMoves()
     private var server: Channel? = null
 
     @Volatile
     override var limits: CallerLimits = CallerLimits()
 
+    @Volatile
+    var movesPerSecond: Int = 0
+
     @Volatile
     override var isDraining: Boolean = false
 
@@ -61,6 +66,12 @@
     var hasConnections: Boolean = false
         private set
 
+    /** Bytes of answers that wait to be written. */
+    val pendingBytes: Long get() = connections.sumOf { it.pendingBytes }
+
+    /** Open connections of callers, and one to an upstream for each exchange. */
+    val descriptors: Int get() = connections.size + exchanges.size
+
     /** Listens on [address]. Throws `IOException` if it cannot be used. */
     fun listen(address: ListenAddress) {
         server = serverBootstrap(group)
@@ -147,5 +158,14 @@
         return exchange
     }
 
+    override fun takeCallerMove(): Boolean {
+        val next = moves.withMove(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), movesPerSecond)
+        if (next != null) {
+            moves = next
+            meters.countMovedCaller()
+        }
+        return next != null
+    }
+
     override fun countRejection(problem: RequestProblem) = meters.countRejection(problem)
 }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -6,14 +6,15 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.Job
 import org.ibismoor.coordination.api.ReportAnswer
-import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterState
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SessionId
+import org.ibismoor.forwarding.api.AddressAnswer
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.ApplyConfiguration
 import org.ibismoor.forwarding.api.AskContact
 import org.ibismoor.forwarding.api.AskOrigins
+import org.ibismoor.forwarding.api.CallerPlacement
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.FetchConfiguration
@@ -22,12 +23,14 @@
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.LogDecision
+import org.ibismoor.forwarding.api.MoveCallers
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
 import org.ibismoor.forwarding.api.RequestLoan
+import org.ibismoor.forwarding.api.ResourcesMeasured
 import org.ibismoor.forwarding.api.SendLoadNotice
 import org.ibismoor.forwarding.api.SendReport
-import org.ibismoor.forwarding.api.callerAddresses
+import org.ibismoor.forwarding.api.addressAnswer
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.hasLeaderContact
 import org.ibismoor.forwarding.api.initialForwarding
@@ -53,8 +56,10 @@
 import java.security.SecureRandom
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 private const val REPORT_TIMEOUT_MILLIS = 600L
+private const val RESOURCE_INTERVAL_MILLIS = 500L
 private const val DRAIN_POLL_MILLIS = 50L
 private const val CUT_RECORD_MILLIS = 100L
 private const val FAILURE_EXIT_CODE = 70
@@ -76,6 +81,8 @@
     )
     private val meters = RouterMeters({ loop.tables }, { log.droppedLines })
     private val traffic = RouterTraffic(group, pool, formats.dialect, meters, ::recordCut, loop::post)
+    private val resources = ResourceMeter(traffic)
+    private val addressAnswers = AtomicLong()
     private val loans = Loans(client, settings.routerPort, loop::post)
     private val notices = LoadNotices(client, settings.routerPort, meters, loop::post)
     private val contacts =
@@ -90,13 +97,22 @@
         traffic.listen(settings.callerAddress)
         serve(ListenAddress(settings.callerAddress.host, settings.routerPort), ::handlePeerRequest)
         controlJob = startControlThread("decisions", loop, ::terminate)
+        if (settings.forwarding.policies.callerPlacement != CallerPlacement.DOMAIN) startMeasuring()
         log.write("started", "session" to loop.tables.session, "address" to settings.callerAddress.host)
     }
 
+    private fun startMeasuring() {
+        val interval = RESOURCE_INTERVAL_MILLIS
+        val measure = Runnable { loop.post(ResourcesMeasured(resources.measure())) }
+        traffic.eventLoop.scheduleAtFixedRate(measure, interval, interval, TimeUnit.MILLISECONDS)
+    }
+
     override val isReady: Boolean get() = loop.tables.state == RouterState.READY
 
-    override fun routersFor(domain: String): List<RouterEntry> =
-        loop.tables.callerAddresses(FailureDomainId(domain), settings.forwarding.entry, clock.now())
+    override fun addressesFor(domain: String): AddressAnswer {
+        val number = addressAnswers.getAndIncrement()
+        return loop.tables.addressAnswer(FailureDomainId(domain), settings.forwarding, clock.now(), number)
+    }
 
     override fun metrics(): String = meters.scrape()
 
@@ -121,6 +137,7 @@
                 is AskOrigins -> origins.ask(effect)
                 is RequestLoan -> loans.requestLoan(effect)
                 is AnswerLoan -> loans.answerLoan(effect)
+                is MoveCallers -> traffic.movesPerSecond = effect.perSecond
                 is ApplyConfiguration -> traffic.limits = effect.configuration.limits
                 is LogDecision -> {
                     meters.countDecision(effect.decision)
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/CallerConnectionTest.kt
@@ -6,6 +6,9 @@
 import io.kotest.core.spec.style.StringSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -33,6 +36,7 @@
     override val dialect = TestDialect
     override val isDraining = false
     override val isClosingIdle = false
+    var isMoving = false
     override val cuts = CutAnswerRecorder { recordedCuts += it }
     val connection = CallerConnection(AnswerEncoder(), this)
     val channel = EmbeddedChannel(StrictRequestDecoder(HEADER_BYTES), AnswerEncoder(), connection)
@@ -50,6 +54,8 @@
         return start(request)
     }
 
+    override fun takeCallerMove() = isMoving
+
     override fun countRejection(problem: RequestProblem) = Unit
 }
 
@@ -74,4 +80,30 @@
         environment.recordedCuts shouldContainExactly
             listOf(CutAnswer(CutCause.INTERNAL_ERROR, "IllegalStateException", "c1"))
     }
+
+    "a caller that moves to another router has the whole answer and then no connection" {
+        ExchangeFixture().use { fixture ->
+            val environment = ScriptedEnvironment { fixture.exchange() }.also { it.isMoving = true }
+            environment.receive(keptRequest("POST /once/1"))
+            environment.connection.sendAnswer(200, "", DefaultHttpHeaders(), "done".encodeToByteArray())
+            environment.channel.runPendingTasks()
+            val written = generateSequence { environment.channel.readOutbound<ByteBuf>() }
+                .joinToString("") { it.toString(Charsets.ISO_8859_1) }
+            written.lowercase() shouldContain "connection: close"
+            written shouldEndWith "done"
+            environment.channel.isOpen shouldBe false
+        }
+    }
+
+    "a caller does not move while another request of its connection has been read" {
+        // Guards against a request that the end of the connection cuts off.
+        ExchangeFixture().use { fixture ->
+            val environment = ScriptedEnvironment { fixture.exchange() }.also { it.isMoving = true }
+            environment.receive(keptRequest("POST /once/1") + keptRequest("POST /once/2"))
+            environment.connection.sendAnswer(200, "", DefaultHttpHeaders(), ByteArray(0))
+            environment.channel.runPendingTasks()
+            environment.channel.isOpen shouldBe true
+            environment.paths shouldContainExactly listOf("/once/1", "/once/2")
+        }
+    }
 })
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/ReportEncodingTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/ReportEncodingTest.kt
@@ -45,9 +45,21 @@
         listOf(report, answer).forEach { text ->
             text shouldNotContain "prompts"
             text shouldNotContain "requests\""
+            text shouldNotContain "room"
+            text shouldNotContain "loadPerMille"
+            text shouldNotContain "isPlacementAutomatic"
         }
     }
 
+    "the room of a router survives encoding" {
+        val entry = RouterEntry("10.0.0.1:80", FailureDomainId("north"), room = 80, loadPerMille = 60)
+        val report = InternalJson.decodeFromString<RouterReport>(OLD_REPORT)
+        val reportWithRoom = report.copy(entry = entry, isPlacementAutomatic = true)
+        InternalJson.decodeFromString<RouterReport>(InternalJson.encodeToString(reportWithRoom)) shouldBe reportWithRoom
+        val answer = ReportAnswer(true, null, emptyList(), routers = listOf(entry))
+        InternalJson.decodeFromString<ReportAnswer>(InternalJson.encodeToString(answer)) shouldBe answer
+    }
+
     "evidence and decisions on prompt parts survive encoding" {
         val crash = EngineCrash("10.1.0.1:80", UpstreamGroupId("engines"), 12, mapOf("a" to listOf("own")), 3)
         val held = QuarantinedPart("c", 1_000, failedProbes = 1)
