Keep evacuated failure domains in the replicated log

Cause: operators need to take a whole failure domain out of service, and the order has to last through leader changes, restarts and lost disks.

Change: an order is a field of MoveAllowances, since a replica of an earlier release cannot read an unknown command. Each order becomes a log entry, also one that changes nothing, and is confirmed when that entry is committed in the term of the leader that appended it. The state keeps the evacuated domains and the log index of the last change. Every replica but an observer answers reports with both. A leader whose group is too small to keep a publication confirms no order either.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/Coordination.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/Coordination.kt
@@ -8,7 +8,7 @@
 import org.ibismoor.consensus.api.initialRecords
 import org.ibismoor.consensus.api.restoreConsensus
 import org.ibismoor.coordination.internal.CoordinationMachine
-import org.ibismoor.coordination.internal.applyCommand
+import org.ibismoor.coordination.internal.applyEntry
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.core.api.TickMachine
@@ -49,17 +49,19 @@
 ): CoordinationTables {
     val restored = restoreConsensus(start.replica, records, start.randomSeed, start.time, settings.consensus)
     val snapshot = restored.snapshot
-    val commands = restored.committed.mapNotNull { it.content as? CommandContent }
+    val commands = restored.committed.mapNotNull { entry ->
+        (entry.content as? CommandContent)?.let { entry.index to it }
+    }
     val snapshotState = snapshot?.let { codec.readState(it.payload) } ?: CoordinationState()
     return CoordinationTables(
         replica = start.replica,
         consensus = restored.tables,
-        state = commands.fold(snapshotState) { state, command ->
-            applyCommand(state, codec.readCommand(command.payload))
+        state = commands.fold(snapshotState) { state, (index, command) ->
+            applyEntry(state, codec.readCommand(command.payload), index)
         },
         appliedIndex = restored.committed.lastOrNull()?.index ?: snapshot?.index ?: 0,
         seedHosts = start.seedHosts,
         isObserver = start.isObserver,
-        growth = LogGrowth(commands.size, commands.sumOf { it.payload.length.toLong() }),
+        growth = LogGrowth(commands.size, commands.sumOf { (_, command) -> command.payload.length.toLong() }),
     )
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationCommand.kt
@@ -18,9 +18,9 @@
 data class PublishConfiguration(val configuration: PublishedConfiguration) : CoordinationCommand
 
 /**
- * Starts sessions, then moves tokens between budgets and sessions, puts [quarantines] in force or ends them, and
- * changes what is known of [streams]. The latter two have no command of their own, since a replica of an earlier
- * release cannot read an unknown command.
+ * Starts sessions, then moves tokens between budgets and sessions, puts [quarantines] in force or ends them, changes
+ * what is known of [streams], and follows orders on failure domains. The latter three have no command of their own,
+ * since a replica of an earlier release cannot read an unknown command.
  */
 @Serializable
 @SerialName("allowances")
@@ -29,6 +29,7 @@
     val moves: List<AllowanceMove>,
     val quarantines: List<LoggedRequestQuarantine> = emptyList(),
     val streams: StreamChanges? = null,
+    val evacuations: List<EvacuationChange> = emptyList(),
 ) : CoordinationCommand
 
 /** A new [session] of [router]. It proves that the previous session has ended. */
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationEffect.kt
@@ -28,6 +28,8 @@
 
 data class AnswerPublication(val reply: Long, val answer: OperatorAnswer) : CoordinationEffect
 
+data class AnswerEvacuation(val reply: Long, val answer: OperatorAnswer) : CoordinationEffect
+
 data class AnswerRead(val reply: Long, val answer: OperatorAnswer) : CoordinationEffect
 
 /** Ask the control processes on [hosts] for the leader, without a request for membership. */
@@ -48,6 +50,9 @@
 /** The configuration of [version] is in force at this replica. */
 data class NotifyConfigurationChange(val version: Long) : CoordinationEffect
 
+/** The evacuated failure domains changed, according to this replica's log. */
+data class NotifyEvacuationChange(val evacuations: EvacuationList) : CoordinationEffect
+
 /** A router was added to the list for callers or removed from it, for [cause]. */
 data class NotifyRouterListChange(val router: RouterId, val isListed: Boolean, val cause: String) : CoordinationEffect
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationMessage.kt
@@ -5,6 +5,7 @@
 package org.ibismoor.coordination.api
 
 import org.ibismoor.consensus.api.ConsensusMessage
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
 
 sealed interface CoordinationMessage
@@ -18,6 +19,10 @@
 /** A validated publication; answered by [AnswerPublication]. */
 data class PublicationReceived(val reply: Long, val configuration: PublishedConfiguration) : CoordinationMessage
 
+/** An operator's order to evacuate [domain] or to end its evacuation; answered by [AnswerEvacuation]. */
+data class EvacuationRequested(val reply: Long, val domain: FailureDomainId, val isEvacuated: Boolean) :
+    CoordinationMessage
+
 /** A request for the newest configuration; answered by [AnswerRead]. */
 data class ReadReceived(val reply: Long) : CoordinationMessage
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationState.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.serialization.Serializable
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouterId
@@ -20,4 +21,8 @@
     /** Requests that crash upstreams, with the number of their crashes. */
     val requestQuarantines: Table<RequestDigest, Int> = persistentHashMapOf(),
     val streams: StreamTables = StreamTables(),
+    /** Evacuated failure domains, with the log index of the order. */
+    val evacuations: Table<FailureDomainId, Long> = persistentHashMapOf(),
+    /** Log index of the last change of [evacuations], which may have ended one; 0 before the first change. */
+    val evacuationIndex: Long = 0,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -75,6 +75,8 @@
 
 data class PendingPublication(override val reply: Long) : PendingExchange
 
+data class PendingEvacuation(override val reply: Long) : PendingExchange
+
 /** A read that waits for the quorum to confirm leadership, and then until the entries up to [index] are applied. */
 data class PendingRead(val reply: Long, val index: Long? = null)
 
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/ReportAnswer.kt
@@ -1,6 +1,6 @@
 /**
- * Answer to a router's report. Only the leader fills it in, and it omits a configuration or upstream list that the
- * router already has.
+ * Answer to a router's report. Only the leader fills it in, except for [ReportAnswer.evacuations], and it omits a
+ * configuration or upstream list that the router already has.
  */
 package org.ibismoor.coordination.api
 
@@ -27,4 +27,6 @@
     val requests: RequestQuarantineUpdate? = null,
     /** An answer to each question of the report on the beginning of a stream. */
     val streams: List<StreamAnswer> = emptyList(),
+    /** Null from an observer, and from a replica of an earlier release. */
+    val evacuations: EvacuationList? = null,
 )
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/Answers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/Answers.kt
@@ -4,6 +4,7 @@
 package org.ibismoor.coordination.internal
 
 import org.ibismoor.consensus.api.status
+import org.ibismoor.coordination.api.AnswerEvacuation
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.AnswerRead
 import org.ibismoor.coordination.api.AnswerReport
@@ -11,6 +12,7 @@
 import org.ibismoor.coordination.api.CoordinationEffect
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.OperatorAnswer
+import org.ibismoor.coordination.api.PendingEvacuation
 import org.ibismoor.coordination.api.PendingExchange
 import org.ibismoor.coordination.api.PendingPublication
 import org.ibismoor.coordination.api.PendingRead
@@ -25,8 +27,14 @@
 
 internal fun CoordinationTables.replicas(): List<ReplicaId> = consensus.status().members.map { it.replica }
 
+/** Routers that cannot reach the leader follow the orders that other replicas have applied; an observer has no log. */
 internal fun notLeadingAnswer(tables: CoordinationTables): ReportAnswer =
-    ReportAnswer(isLeading = false, leader = tables.otherLeader(), replicas = tables.replicas())
+    ReportAnswer(
+        isLeading = false,
+        leader = tables.otherLeader(),
+        replicas = tables.replicas(),
+        evacuations = evacuationList(tables.state).takeUnless { tables.isObserver },
+    )
 
 /** Refers an operator's call to the leader, or leaves its result open without one. */
 internal fun redirectAnswer(tables: CoordinationTables): OperatorAnswer =
@@ -36,6 +44,7 @@
     when (exchange) {
         is PendingReport -> AnswerReport(exchange.reply, notLeadingAnswer(tables))
         is PendingPublication -> AnswerPublication(exchange.reply, Unconfirmed)
+        is PendingEvacuation -> AnswerEvacuation(exchange.reply, Unconfirmed)
     }
 
 internal fun unconfirmedReadAnswer(read: PendingRead): CoordinationEffect = AnswerRead(read.reply, Unconfirmed)
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ApplySystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ApplySystem.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.consensus.api.compactRecords
+import org.ibismoor.coordination.api.AnswerEvacuation
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.AnswerReport
 import org.ibismoor.coordination.api.CommittedCommand
@@ -16,6 +17,7 @@
 import org.ibismoor.coordination.api.CoordinationTables
 import org.ibismoor.coordination.api.LogGrowth
 import org.ibismoor.coordination.api.NotifyConfigurationChange
+import org.ibismoor.coordination.api.PendingEvacuation
 import org.ibismoor.coordination.api.PendingExchange
 import org.ibismoor.coordination.api.PendingPublication
 import org.ibismoor.coordination.api.PendingReport
@@ -33,7 +35,11 @@
         val emptied = tables.copy(committedCommands = persistentListOf())
         val step = foldSteps(emptied, tables.committedCommands, ::applyCommitted)
         val newVersion = step.tables.state.configuration?.version?.takeIf { it != previousVersion }
-        return CoordinationStep(step.tables, step.effects + listOfNotNull(newVersion?.let(::NotifyConfigurationChange)))
+        val notices = listOfNotNull(
+            newVersion?.let(::NotifyConfigurationChange),
+            evacuationNotice(tables.state, step.tables.state),
+        )
+        return CoordinationStep(step.tables, step.effects + notices)
     }
 
     private fun applyCommitted(tables: CoordinationTables, command: CommittedCommand): CoordinationStep =
@@ -56,7 +62,7 @@
     private fun withCommand(tables: CoordinationTables, command: CommittedCommand): CoordinationTables {
         val growth = tables.growth
         return tables.copy(
-            state = applyCommand(tables.state, codec.readCommand(command.payload)),
+            state = applyEntry(tables.state, codec.readCommand(command.payload), command.index),
             appliedIndex = command.index,
             growth = LogGrowth(growth.entries + 1, growth.characters + command.payload.length),
         )
@@ -83,5 +89,6 @@
         when (exchange) {
             is PendingReport -> AnswerReport(exchange.reply, reportAnswers.answer(exchange.report))
             is PendingPublication -> AnswerPublication(exchange.reply, Confirmed(tables.state.configuration))
+            is PendingEvacuation -> AnswerEvacuation(exchange.reply, Confirmed(tables.state.configuration))
         }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/CoordinationMachine.kt
@@ -40,6 +40,7 @@
             QuarantineSystem(settings),
             ReportSystem(codec, settings),
             PublicationSystem(codec, settings),
+            EvacuationSystem(codec, settings),
             ReadSystem(),
             SnapshotSystem(codec, settings),
         ),
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/PublicationSystem.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/PublicationSystem.kt
@@ -5,7 +5,6 @@
  */
 package org.ibismoor.coordination.internal
 
-import org.ibismoor.consensus.api.status
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.Confirmed
 import org.ibismoor.coordination.api.CoordinationCodec
@@ -40,7 +39,7 @@
             isOutdated -> CoordinationStep(tables, listOf(AnswerPublication(message.reply, Confirmed(current))))
             tables.leadingSince == null ->
                 CoordinationStep(tables, listOf(AnswerPublication(message.reply, redirectAnswer(tables))))
-            isGroupGrowing(tables, now) ->
+            tables.isGroupGrowing(settings, now) ->
                 CoordinationStep(tables, listOf(AnswerPublication(message.reply, Unconfirmed)))
             else -> {
                 val payload = codec.writeCommand(PublishConfiguration(message.configuration))
@@ -48,11 +47,4 @@
             }
         }
     }
-
-    private fun isGroupGrowing(tables: CoordinationTables, now: Timestamp): Boolean {
-        val since = tables.leadingSince ?: return false
-        val voters = tables.consensus.status().members.count { it.isVoter }
-        val quorum = voters / 2 + 1
-        return quorum <= settings.toleratedLosses && now - since < settings.groupCompletionMillis
-    }
 }
--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/ReportAnswers.kt
@@ -38,6 +38,7 @@
             prompts = tables.quarantineUpdate(report),
             requests = requests.updateFor(report),
             streams = streams.answersFor(report),
+            evacuations = evacuationList(tables.state),
         )
     }
 }
--- a/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
+++ b/coordination/src/test/kotlin/org/ibismoor/coordination/SimulatedFleet.kt
@@ -6,6 +6,7 @@
 
 import org.ibismoor.consensus.api.ConsensusRecord
 import org.ibismoor.consensus.api.status
+import org.ibismoor.coordination.api.AnswerEvacuation
 import org.ibismoor.coordination.api.AnswerJoin
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.AnswerRead
@@ -16,7 +17,9 @@
 import org.ibismoor.coordination.api.CoordinationMessage
 import org.ibismoor.coordination.api.CoordinationSettings
 import org.ibismoor.coordination.api.CoordinationStart
+import org.ibismoor.coordination.api.CoordinationState
 import org.ibismoor.coordination.api.CoordinationTables
+import org.ibismoor.coordination.api.EvacuationRequested
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
 import org.ibismoor.coordination.api.OperatorAnswer
@@ -24,6 +27,7 @@
 import org.ibismoor.coordination.api.PublishedConfiguration
 import org.ibismoor.coordination.api.ReadReceived
 import org.ibismoor.coordination.api.ReplaceRecords
+import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.ReportReceived
 import org.ibismoor.coordination.api.SendJoinRequest
 import org.ibismoor.coordination.api.SendLeaderAnnouncement
@@ -84,6 +88,11 @@
     var acknowledgedVersion = 0L
         private set
 
+    /** Answers to orders on failure domains, by the number that [order] returned. */
+    val orderAnswers = mutableMapOf<Long, OperatorAnswer>()
+
+    private val reportAnswers = mutableMapOf<Long, ReportAnswer>()
+
     /** Violated guarantees. */
     val violations = mutableListOf<String>()
 
@@ -150,6 +159,19 @@
         deliver(host, ReadReceived(reply))
     }
 
+    /** Sends an operator's order to the control process on [host]. */
+    fun order(host: String, domain: String, isEvacuated: Boolean): Long =
+        nextReply++.also { deliver(host, EvacuationRequested(it, FailureDomainId(domain), isEvacuated)) }
+
+    /** The answer to a report of [router] that needs no log entry; null if the host does not answer at once. */
+    fun answerAt(host: String, router: SimulatedRouter): ReportAnswer? {
+        val reply = nextReply++
+        deliver(host, ReportReceived(reply, router.report()))
+        return reportAnswers[reply]
+    }
+
+    fun stateAt(host: String): CoordinationState = running.getValue(host).state
+
     fun run(millis: Long) {
         val end = now + millis
         while (now < end) {
@@ -233,8 +255,12 @@
 
     private fun deliverAnswer(effect: CoordinationEffect) {
         when (effect) {
-            is AnswerReport -> routers.firstOrNull { it.pendingReply == effect.reply }
-                ?.let { if (!isLost()) it.receiveAnswer(effect.answer) }
+            is AnswerEvacuation -> orderAnswers[effect.reply] = effect.answer
+            is AnswerReport -> {
+                reportAnswers[effect.reply] = effect.answer
+                routers.firstOrNull { it.pendingReply == effect.reply }
+                    ?.let { if (!isLost()) it.receiveAnswer(effect.answer) }
+            }
             is AnswerPublication -> recordPublication(effect)
             is AnswerRead -> checkRead(effect.reply, effect.answer)
             else -> Unit
