Keep requests out of evacuated domains and forbidden regions

Cause: routers learn of evacuated failure domains with the answers to their reports, and routes and organisations may restrict the regions in which their requests run.

Change: a router keeps the list with the highest log index, from the leader or any other replica, and is not ready without one. A request whose group has no upstream in an allowed place is refused at its arrival as not run (evacuated, region_not_allowed), before tokens are reserved. Callers of a host whose routes all name regions are offered routers of these regions or of their own. Without orders and lists nothing changes; a leader of an earlier release, which sends no list, leaves a router without one with an empty list.

The harness gets the regions of failure domains as a parameter.

--- a/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
+++ b/core/src/main/kotlin/org/ibismoor/core/api/RefusalReason.kt
@@ -27,6 +27,8 @@
     NO_UPSTREAM("no_upstream"),
     UNKNOWN_STREAM("unknown_stream"),
     VERSION_GONE("version_gone"),
+    EVACUATED("evacuated"),
+    REGION_NOT_ALLOWED("region_not_allowed"),
     PROMPT_QUARANTINED("prompt_quarantined"),
     REQUEST_QUARANTINED("request_quarantined"),
     RETRY_BUDGET_EXHAUSTED("retry_budget_exhausted"),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/CallerAddresses.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/CallerAddresses.kt
@@ -22,12 +22,20 @@
     return answeredAt != null && now - answeredAt <= LEADER_CONTACT_TIMEOUT_MILLIS
 }
 
-/** Routers for a caller in [domain], those of its failure domain first. [own] is the entry of this router. */
-fun ForwardingTables.callerAddresses(domain: FailureDomainId, own: RouterEntry, now: Timestamp): List<RouterEntry> {
+/**
+ * Routers for a caller in [domain] among those that [isOffered] to it, those of its failure domain first. [own] is the
+ * entry of this router.
+ */
+fun ForwardingTables.callerAddresses(
+    domain: FailureDomainId,
+    own: RouterEntry,
+    now: Timestamp,
+    isOffered: (RouterEntry) -> Boolean = { true },
+): List<RouterEntry> {
     val isExcluded = state == RouterState.DRAINING || !hasLeaderContact(now)
-    val listedRouters = fleet.routers.filter { !isExcluded || it.address != own.address }
+    val listedRouters = fleet.routers.filter { (!isExcluded || it.address != own.address) && isOffered(it) }
     val connectedRouters = listedRouters.filter { it.address !in fleet.separatedRouters }.ifEmpty { listedRouters }
-    val offeredRouters = connectedRouters.ifEmpty { listOf(own).filter { state == RouterState.READY } }
+    val offeredRouters = connectedRouters.ifEmpty { listOf(own).filter { state == RouterState.READY && isOffered(it) } }
     val localRouters = offeredRouters.filter { it.domain == domain }
     if (localRouters.size >= MINIMUM_LOCAL_ROUTERS) return localRouters
     return localRouters + (offeredRouters - localRouters.toSet())
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/FleetRow.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentHashSetOf
+import org.ibismoor.coordination.api.EvacuationList
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.core.api.Timestamp
 
@@ -33,4 +34,6 @@
     val loadNoticeDueAt: Timestamp? = null,
     /** Rate of arriving requests, exponentially weighted. */
     val requestsPerSecond: Double = 0.0,
+    /** The newest list that a replica has answered with; null before the first one. */
+    val evacuations: EvacuationList? = null,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -3,7 +3,11 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import org.ibismoor.coordination.api.RouterEntry
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RouterId
 
 data class ForwardingSettings(
@@ -18,4 +22,6 @@
     val retryWindowMillis: Long,
     val times: ForwardingTimes = ForwardingTimes(),
     val policies: LoadPolicies = LoadPolicies(),
+    /** Region of each failure domain; empty if the settings state none. */
+    val regions: PersistentMap<FailureDomainId, RegionId> = persistentHashMapOf(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -40,7 +40,8 @@
     val state: RouterState
         get() = when {
             isDraining -> RouterState.DRAINING
-            configuration == null || fleet.upstreamRevision == 0L -> RouterState.STARTING
+            // The leader's first answer has both a list of upstreams and the list of evacuated failure domains.
+            configuration == null || fleet.upstreamRevision == 0L || fleet.evacuations == null -> RouterState.STARTING
             else -> RouterState.READY
         }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/OrganisationRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/OrganisationRow.kt
@@ -3,7 +3,10 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RegionId
 
 data class OrganisationRow(
     val id: OrganisationId,
@@ -11,4 +14,6 @@
     val priority: Int?,
     /** Prepaid tokens; null means unlimited. */
     val budget: Long?,
+    /** Regions whose upstreams may get the requests; empty if any may. */
+    val allowedRegions: PersistentSet<RegionId> = persistentHashSetOf(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -4,8 +4,11 @@
 package org.ibismoor.forwarding.api
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
@@ -17,6 +20,8 @@
     val route: RouteRow,
     val group: UpstreamGroupId,
     val organisation: OrganisationId?,
+    /** Allowed regions of the organisation, as of the configuration that admitted the request. */
+    val organisationRegions: PersistentSet<RegionId> = persistentHashSetOf(),
     val priority: Int,
     val arrivedAt: Timestamp,
     /** Deadline after which the request is refused. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RouteRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RouteRow.kt
@@ -4,6 +4,9 @@
 package org.ibismoor.forwarding.api
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RouteId
 
 data class RouteRow(
@@ -22,4 +25,6 @@
     val maximumAttempts: Int,
     /** Callers need no API key. */
     val isPublic: Boolean,
+    /** Regions whose upstreams may get the requests; empty if any may. */
+    val allowedRegions: PersistentSet<RegionId> = persistentHashSetOf(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ArrivalSystem.kt
@@ -3,6 +3,7 @@
  */
 package org.ibismoor.forwarding.internal
 
+import kotlinx.collections.immutable.persistentHashSetOf
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Outcome
 import org.ibismoor.core.api.RefusalReason
@@ -112,6 +113,7 @@
             route = route,
             group = group,
             organisation = organisation?.id,
+            organisationRegions = organisation?.allowedRegions ?: persistentHashSetOf(),
             priority = organisation?.priority ?: route.priority,
             arrivedAt = now,
             dueAt = now + waitMillis(message.head, route),
@@ -122,7 +124,12 @@
             retries = tables.retries.withRequestCounted(group, now),
         )
         val isContinuation = route.kind.isStream && message.head.continuation != null
-        return if (isContinuation) continueStream(next, request, now) else admitResolved(next, request, settings, now)
+        val placeRefusal = next.placeRefusal(request, settings)
+        return when {
+            placeRefusal != null -> refusePlace(next, request, placeRefusal, settings, now)
+            isContinuation -> continueStream(next, request, now)
+            else -> admitResolved(next, request, settings, now)
+        }
     }
 
     private fun continueStream(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -84,9 +84,11 @@
     private fun applyAnswer(tables: ForwardingTables, message: ReportAnswered, now: Timestamp): ForwardingStep {
         val answer = message.answer
         val next = withReplicas(tables, answer)
-        return when {
-            answer.isLeading -> applyLeaderAnswer(next, message, now)
-            else -> ForwardingStep(withLeaderFirst(next, answer, now))
+        return applyEvacuations(next, answer).then {
+            when {
+                answer.isLeading -> applyLeaderAnswer(it, message, now)
+                else -> ForwardingStep(withLeaderFirst(it, answer, now))
+            }
         }
     }
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -41,9 +41,11 @@
 
     private fun dispatchRequest(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
         val candidates = candidates(tables, request, now)
+        val placeRefusal = tables.placeRefusal(request, settings)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
-            tables.isVersionGone(request) -> refuseVersionGone(tables, request, settings, now)
+            placeRefusal != null -> refusePlace(tables, request, placeRefusal, settings, now)
+            tables.isVersionGone(request, settings) -> refuseVersionGone(tables, request, settings, now)
             else -> {
                 val retryAfterMillis = retryAfterMillis(tables, request, now)
                 refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
@@ -56,8 +58,10 @@
      * none of another version, which would write a different text. Leaving ones only end streams of their version.
      */
     private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
+        val places = tables.placesFor(request, settings)
         val usable = tables.upstreams.values.filter {
             it.entry.group == request.group && request.mayUse(it.entry) && !it.isPaused(now) &&
+                places.allows(it.entry.domain) &&
                 it.hasResumed(now, settings.times.resumptionMillis)
         }
         val staying = usable.filter { !it.isLeaving }
@@ -152,11 +156,14 @@
 private fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
     entry.id !in triedUpstreams && (streamVersion == null || entry.version == streamVersion)
 
-/** True if the list has no upstream that could ever go on with the stream of [request]. */
-private fun ForwardingTables.isVersionGone(request: RequestRow): Boolean =
-    request.streamVersion != null && upstreams.values.none {
-        it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving
+/** True if the list has no upstream in an allowed place that could go on with the stream of [request]. */
+private fun ForwardingTables.isVersionGone(request: RequestRow, settings: ForwardingSettings): Boolean {
+    val places = placesFor(request, settings)
+    return request.streamVersion != null && upstreams.values.none {
+        it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving &&
+            places.allows(it.entry.domain)
     }
+}
 
 /** True if the upstream has been leaving for less than [limitMillis], so that it serves for a while. */
 private fun UpstreamRow.canEndStreams(now: Timestamp, limitMillis: Long): Boolean {
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.core.api.ApiKeyDigest
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.RouterId
@@ -63,6 +64,7 @@
     session: SessionId = SessionId("a"),
     times: ForwardingTimes = ForwardingTimes(),
     seed: Long = 1,
+    regions: Map<FailureDomainId, RegionId> = emptyMap(),
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -72,6 +74,7 @@
         retrySlack = 600,
         retryWindowMillis = 10_000,
         times = times,
+        regions = regions.toPersistentHashMap(),
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
--- a/router/src/main/kotlin/org/ibismoor/router/internal/RefusalMessages.kt
+++ b/router/src/main/kotlin/org/ibismoor/router/internal/RefusalMessages.kt
@@ -26,6 +26,8 @@
     RefusalReason.NO_UPSTREAM to "No upstream is available.",
     RefusalReason.UNKNOWN_STREAM to "No process knows which software version began the stream.",
     RefusalReason.VERSION_GONE to "No upstream has the software version that began the stream.",
+    RefusalReason.EVACUATED to "All upstreams are in failure domains that are evacuated.",
+    RefusalReason.REGION_NOT_ALLOWED to "No upstream is in a region that the route and the organisation allow.",
     RefusalReason.REQUEST_QUARANTINED to "The request has crashed upstreams and is not sent to them for now.",
     RefusalReason.PROMPT_QUARANTINED to "A part of the prompt has crashed engines and is not sent to them for now.",
     RefusalReason.RETRY_BUDGET_EXHAUSTED to "The attempt failed and too many other requests are being retried.",
