Accept operators' orders to evacuate failure domains

Address lookups use name, region and zone. Log lines operator_evacuation_start, operator_evacuation_end and evacuations_committed; metric ibismoor_evacuated_domains at routers and control processes.

--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorProcess.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/CoordinatorProcess.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.coordination.api.OperatorAnswer
 import org.ibismoor.coordination.api.PublishedConfiguration
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.runtime.api.ListenAddress
 import java.util.concurrent.CompletableFuture
 
@@ -13,6 +14,9 @@
 
     fun readConfiguration(): CompletableFuture<OperatorAnswer>
 
+    /** Orders that [domain] is evacuated from now on, or no longer. */
+    fun orderEvacuation(domain: FailureDomainId, isEvacuated: Boolean): CompletableFuture<OperatorAnswer>
+
     fun metrics(): String
 
     /** Listens on [address] and serves [handler]. Throws `IOException` if the address cannot be used. */
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterProcess.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterProcess.kt
@@ -4,14 +4,15 @@
 package org.ibismoor.gateway.api
 
 import org.ibismoor.coordination.api.RouterEntry
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.runtime.api.ListenAddress
 
 interface RouterProcess {
     /** True if the router can accept requests and is not draining. */
     val isReady: Boolean
 
-    /** Routers that callers may use, from the leader's last list, with those of failure domain [domain] first. */
-    fun routersFor(domain: String): List<RouterEntry>
+    /** Routers that [caller] may use, from the leader's last list, with those of its failure domain first. */
+    fun routersFor(caller: CallerPlace): List<RouterEntry>
 
     /** Metrics in the Prometheus text format. */
     fun metrics(): String
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/CoordinatorMeters.kt
@@ -28,6 +28,7 @@
         registerGauge("ibismoor_issued_tokens") { tables().state.budgets.values.sumOf { it.outstanding } }
         registerGauge("ibismoor_logged_spent_tokens") { tables().state.budgets.values.sumOf { it.loggedSpending } }
         registerGauge("ibismoor_voters") { tables().consensus.status().members.count { it.isVoter } }
+        registerGauge("ibismoor_evacuated_domains") { tables().state.evacuations.size }
         registerGauge("ibismoor_log_index") { tables().appliedIndex }
         registerGauge("ibismoor_quarantined_parts") { tables().quarantine.quarantines.size }
         registerGauge("ibismoor_quarantined_requests") { tables().requestQuarantine.quarantines.size }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/control/RunningCoordinator.kt
@@ -5,6 +5,7 @@
 package org.ibismoor.gateway.internal.control
 
 import io.netty.channel.EventLoopGroup
+import org.ibismoor.coordination.api.AnswerEvacuation
 import org.ibismoor.coordination.api.AnswerJoin
 import org.ibismoor.coordination.api.AnswerPublication
 import org.ibismoor.coordination.api.AnswerRead
@@ -13,10 +14,12 @@
 import org.ibismoor.coordination.api.CoordinationEffect
 import org.ibismoor.coordination.api.CoordinationMessage
 import org.ibismoor.coordination.api.CoordinationTables
+import org.ibismoor.coordination.api.EvacuationRequested
 import org.ibismoor.coordination.api.JoinAnswered
 import org.ibismoor.coordination.api.JoinReceived
 import org.ibismoor.coordination.api.LeaderQueried
 import org.ibismoor.coordination.api.NotifyConfigurationChange
+import org.ibismoor.coordination.api.NotifyEvacuationChange
 import org.ibismoor.coordination.api.NotifyLeadershipChange
 import org.ibismoor.coordination.api.NotifyMembershipChange
 import org.ibismoor.coordination.api.NotifyPromptPart
@@ -38,6 +41,7 @@
 import org.ibismoor.coordination.api.Unconfirmed
 import org.ibismoor.coordination.api.UpstreamListReceived
 import org.ibismoor.coordination.api.hostOf
+import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.ReplicaId
 import org.ibismoor.gateway.api.CoordinatorProcess
 import org.ibismoor.gateway.api.CoordinatorSettings
@@ -117,6 +121,16 @@
         log.write("operator_$kind", "version" to version, "outcome" to outcome)
     }
 
+    override fun orderEvacuation(domain: FailureDomainId, isEvacuated: Boolean): CompletableFuture<OperatorAnswer> {
+        val kind = if (isEvacuated) "evacuation_start" else "evacuation_end"
+        return operatorReplies.openExchange { replica.post(EvacuationRequested(it, domain, isEvacuated)) }
+            .whenComplete { answer, _ ->
+                val outcome = answer.javaClass.simpleName.lowercase()
+                meters.countOperatorCall(kind, outcome)
+                log.write("operator_$kind", "domain" to domain, "outcome" to outcome)
+            }
+    }
+
     override fun metrics(): String = meters.scrape()
 
     override fun serve(address: ListenAddress, handler: SimpleHandler) {
@@ -175,6 +189,7 @@
                 is AnswerReport -> reportReplies.complete(effect.reply, effect.answer)
                 is AnswerPublication -> operatorReplies.complete(effect.reply, effect.answer)
                 is AnswerRead -> operatorReplies.complete(effect.reply, effect.answer)
+                is AnswerEvacuation -> operatorReplies.complete(effect.reply, effect.answer)
                 is AnswerJoin -> joinReplies.complete(effect.reply, JoinAnswered(effect.leader, effect.ageMillis))
                 else -> handleNotification(tables, effect)
             }
@@ -212,6 +227,12 @@
                 )
             is NotifyConfigurationChange ->
                 log.write("configuration_committed", "version" to effect.version, "index" to tables.appliedIndex)
+            is NotifyEvacuationChange ->
+                log.write(
+                    "evacuations_committed",
+                    "domains" to effect.evacuations.domains.joinToString(","),
+                    "index" to effect.evacuations.index,
+                )
             is NotifyRouterListChange ->
                 log.write(
                     "router_listed",
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -32,6 +32,7 @@
         registry.registerGauge("ibismoor_upstreams_paused") {
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
+        registry.registerGauge("ibismoor_evacuated_domains") { tables().fleet.evacuations?.domains.orEmpty().size }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -8,12 +8,12 @@
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterState
-import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.ApplyConfiguration
 import org.ibismoor.forwarding.api.AskContact
 import org.ibismoor.forwarding.api.AskOrigins
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.FetchConfiguration
@@ -31,6 +31,7 @@
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.hasLeaderContact
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.forwarding.api.isOffered
 import org.ibismoor.forwarding.api.knownOrigins
 import org.ibismoor.gateway.api.PlatformFormats
 import org.ibismoor.gateway.api.RouterProcess
@@ -95,8 +96,12 @@
 
     override val isReady: Boolean get() = loop.tables.state == RouterState.READY
 
-    override fun routersFor(domain: String): List<RouterEntry> =
-        loop.tables.callerAddresses(FailureDomainId(domain), settings.forwarding.entry, clock.now())
+    override fun routersFor(caller: CallerPlace): List<RouterEntry> {
+        val tables = loop.tables
+        return tables.callerAddresses(caller.domain, settings.forwarding.entry, clock.now()) { router ->
+            tables.isOffered(router, caller, settings.forwarding)
+        }
+    }
 
     override fun metrics(): String = meters.scrape()
 
