--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
@@ -32,29 +32,39 @@
         CallerPlacement.AUTO -> fleet.routers.any { it.room != null }
     }
 
-/** The answer to a caller in [domain]; [answerNumber] differs between answers. */
+/** The answer to [caller]; [answerNumber] differs between answers. */
 fun ForwardingTables.addressAnswer(
-    domain: FailureDomainId,
+    caller: CallerPlace,
     settings: ForwardingSettings,
     now: Timestamp,
     answerNumber: Long,
 ): AddressAnswer {
+    val isOffered = { router: RouterEntry -> isOffered(router, caller, settings) }
     if (!isPlacedByRoom(settings)) {
-        return AddressAnswer(callerAddresses(domain, settings.entry, now), FIXED_VALIDITY_SECONDS)
+        val routers = callerAddresses(caller.domain, settings.entry, now, isOffered)
+        return AddressAnswer(routers, FIXED_VALIDITY_SECONDS)
     }
     val draw = SeededRandom(placement.drawSeed + answerNumber)
-    val offers = offeredRouters(settings, now).associateWith { weightFor(it, domain, now) }
+    val offers = offeredRouters(settings, now).filter(isOffered).associateWith { weightFor(it, caller.domain, now) }
     val routers = drawRouters(offers, draw)
     return AddressAnswer(routers, 1 + draw.advance().below(MAXIMUM_VALIDITY_SECONDS).toInt())
 }
 
-/** All routers of the last list. Callers leave out those that fail, and in a partition no list says which do. */
+/**
+ * The routers of the last list. In a partition, those with contact to the leader can still get tokens, so the others
+ * are left out, this router too; if none is known to have contact, all are offered.
+ */
 private fun ForwardingTables.offeredRouters(settings: ForwardingSettings, now: Timestamp): List<RouterEntry> {
     val own = settings.entry.copy(room = placement.room, loadPerMille = placement.loadPerMille)
     val others = fleet.routers.filter { it.address != own.address }
     val isListed = others.size < fleet.routers.size
-    val isOffered = state == RouterState.READY && (isListed || !hasLeaderContact(now))
-    return if (isOffered || others.isEmpty()) others + own else others
+    val connected = others.filter { it.address !in fleet.separatedRouters }
+    val offered = when {
+        hasLeaderContact(now) && isListed && state == RouterState.READY -> connected + own
+        hasLeaderContact(now) || state == RouterState.DRAINING -> connected.ifEmpty { others }
+        else -> connected.ifEmpty { others + own }
+    }
+    return offered.ifEmpty { listOf(own).filter { state == RouterState.READY } }
 }
 
 private fun ForwardingTables.weightFor(entry: RouterEntry, domain: FailureDomainId, now: Timestamp): Double {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
@@ -39,4 +39,5 @@
     REQUEST_RELEASED,
     STREAM_CONTINUED,
     CALLERS_MOVED,
+    EVACUATIONS_CHANGED,
 }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/AddressAnswerTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/AddressAnswerTest.kt
@@ -15,6 +15,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.forwarding.api.AddressAnswer
 import org.ibismoor.forwarding.api.CallerMoves
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.forwarding.api.CallerPlacement
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -94,5 +95,5 @@
         retryWindowMillis = 1_000,
         policies = LoadPolicies(callerPlacement = placement),
     )
-    return addressAnswer(SOUTH, settings, now, draw)
+    return addressAnswer(CallerPlace(SOUTH), settings, now, draw)
 }
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/PlacementFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/PlacementFleet.kt
@@ -4,6 +4,8 @@
  */
 package org.ibismoor.forwarding
 
+import java.util.PriorityQueue
+import kotlin.random.Random
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterReport
@@ -19,6 +21,7 @@
 import org.ibismoor.forwarding.api.AddressAnswer
 import org.ibismoor.forwarding.api.AttemptEnded
 import org.ibismoor.forwarding.api.CallerMoves
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.forwarding.api.CallerPlacement
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.ForwardingEffect
@@ -39,8 +42,6 @@
 import org.ibismoor.forwarding.api.addressAnswer
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
-import java.util.PriorityQueue
-import kotlin.random.Random
 
 private const val STEP_MILLIS = 10L
 private const val NETWORK_MILLIS = 2L
@@ -209,7 +210,7 @@
         }
 
         fun resolve(domain: FailureDomainId, draw: Long): AddressAnswer =
-            tables.addressAnswer(domain, settings, Timestamp(now), draw)
+            tables.addressAnswer(CallerPlace(domain), settings, Timestamp(now), draw)
 
         fun accept(onEnd: (Boolean) -> Unit) {
             arrivals[index].merge(now / MILLIS_PER_SECOND, 1, Int::plus)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterProcess.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/RouterProcess.kt
@@ -4,14 +4,15 @@
 package org.ibismoor.gateway.api
 
 import org.ibismoor.forwarding.api.AddressAnswer
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.runtime.api.ListenAddress
 
 interface RouterProcess {
     /** True if the router can accept requests and is not draining. */
     val isReady: Boolean
 
-    /** Routers that a caller in failure domain [domain] may use, from the leader's last list, and for how long. */
-    fun addressesFor(domain: String): AddressAnswer
+    /** Routers that [caller] may use, from the leader's last list, and for how long. */
+    fun addressesFor(caller: CallerPlace): AddressAnswer
 
     /** Metrics in the Prometheus text format. */
     fun metrics(): String
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -33,6 +33,7 @@
         registry.registerGauge("ibismoor_upstreams_paused") {
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
+        registry.registerGauge("ibismoor_evacuated_domains") { tables().fleet.evacuations?.domains.orEmpty().size }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
         registry.registerGauge("ibismoor_room_requests_per_second") { tables().placement.room ?: 0 }
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RunningRouter.kt
@@ -7,13 +7,13 @@
 import kotlinx.coroutines.Job
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterState
-import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.SessionId
 import org.ibismoor.forwarding.api.AddressAnswer
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.ApplyConfiguration
 import org.ibismoor.forwarding.api.AskContact
 import org.ibismoor.forwarding.api.AskOrigins
+import org.ibismoor.forwarding.api.CallerPlace
 import org.ibismoor.forwarding.api.CallerPlacement
 import org.ibismoor.forwarding.api.ControlHostsChanged
 import org.ibismoor.forwarding.api.DrainStarted
@@ -34,6 +34,7 @@
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.hasLeaderContact
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.forwarding.api.isOffered
 import org.ibismoor.forwarding.api.knownOrigins
 import org.ibismoor.gateway.api.PlatformFormats
 import org.ibismoor.gateway.api.RouterProcess
@@ -109,9 +110,9 @@
 
     override val isReady: Boolean get() = loop.tables.state == RouterState.READY
 
-    override fun addressesFor(domain: String): AddressAnswer {
+    override fun addressesFor(caller: CallerPlace): AddressAnswer {
         val number = addressAnswers.getAndIncrement()
-        return loop.tables.addressAnswer(FailureDomainId(domain), settings.forwarding, clock.now(), number)
+        return loop.tables.addressAnswer(caller, settings.forwarding, clock.now(), number)
     }
 
     override fun metrics(): String = meters.scrape()
