Move the queue policy into a module of its own

Cause: both front ends need one queue, and it was a part of routing. Change: QueuePolicy and its two implementations move to the new decision module admission, which depends on core only. Entries have a type parameter for their identifier, a rank and an order instead of the routing types; surplus requests come last. Within a lane a heap replaces the order of insertion; routing orders by stream number, which is that of arrival. DueQueue gives and drops its first entry.

--- a/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Policy.kt
+++ b/bench/src/main/kotlin/org/ibismoor/bench/replay/internal/Policy.kt
@@ -4,10 +4,10 @@
  */
 package org.ibismoor.bench.replay.internal
 
+import org.ibismoor.admission.api.firstInFirstOut
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.routing.api.RoutingLimits
 import org.ibismoor.routing.api.RoutingSettings
-import org.ibismoor.routing.api.firstInFirstOut
 import org.ibismoor.routing.api.fixedConcurrency
 import org.ibismoor.routing.api.leastInFlight
 import org.ibismoor.routing.api.powerOfTwoChoices
--- a/core/src/main/kotlin/org/ibismoor/core/api/DueQueue.kt
+++ b/core/src/main/kotlin/org/ibismoor/core/api/DueQueue.kt
@@ -12,6 +12,9 @@
     /** Earliest time in the queue, or null if it is empty. */
     val next: Timestamp? get() = root?.time
 
+    /** The entry that is due first, or null if the queue is empty. */
+    val first: K? get() = root?.id
+
     fun plus(time: Timestamp, id: K): DueQueue<K> = DueQueue(merge(root, HeapNode(time, id)))
 
     /** Splits off all entries that are due at [now], ordered by time. This queue is unchanged. */
@@ -25,6 +28,9 @@
         return DueEntries(due, DueQueue(rest))
     }
 
+    /** The queue without its [first] entry; an empty queue is returned unchanged. */
+    fun withoutFirst(): DueQueue<K> = if (root == null) this else DueQueue(merge(root.left, root.right))
+
     companion object {
         fun <K> empty(): DueQueue<K> = DueQueue(null)
     }
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/GroupRow.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/GroupRow.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.ibismoor.admission.api.QueueRow
 import org.ibismoor.core.api.UpstreamId
 
 /**
@@ -18,6 +19,6 @@
     val active: Int = 0,
     val concurrencyLimit: Double? = null,
     val dispatchCount: Long = 0,
-    val queue: QueueRow = QueueRow(),
+    val queue: QueueRow<StreamId> = QueueRow(),
     val retryBudget: RetryBudgetRow = RetryBudgetRow(),
 )
--- a/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingSettings.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/RoutingSettings.kt
@@ -3,6 +3,8 @@
  */
 package org.ibismoor.routing.api
 
+import org.ibismoor.admission.api.QueuePolicy
+import org.ibismoor.admission.api.fairQueue
 import org.ibismoor.core.api.FailureDomainId
 
 /** [controlDomains] are the domains whose control processes the router may use, in order of preference. */
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/QueueSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/QueueSystem.kt
@@ -26,7 +26,7 @@
         val group = tables.group(id)
         val dequeued = if (hasCapacity(group)) settings.queue.dequeue(group.queue) else null
         if (dequeued == null) return tables
-        val row = tables.streams.getValue(dequeued.entry.stream).copy(phase = StreamPhase.RESERVING)
+        val row = tables.streams.getValue(dequeued.entry.id).copy(phase = StreamPhase.RESERVING)
         val withoutEntry = tables.withGroup(id, group.copy(queue = dequeued.remaining))
         val next = withoutEntry.putStream(row, settings.limits)
         val streamsToReserve = next.streamsToReserve.add(row.id)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/StreamTable.kt
@@ -3,13 +3,14 @@
  */
 package org.ibismoor.routing.internal
 
+import org.ibismoor.admission.api.QueueEntry
+import org.ibismoor.admission.api.QueuePolicy
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.routing.api.GroupRow
-import org.ibismoor.routing.api.QueueEntry
-import org.ibismoor.routing.api.QueuePolicy
 import org.ibismoor.routing.api.RoutingLimits
 import org.ibismoor.routing.api.RoutingTables
+import org.ibismoor.routing.api.StreamId
 import org.ibismoor.routing.api.StreamPhase
 import org.ibismoor.routing.api.StreamRow
 import org.ibismoor.routing.api.StreamTimer
@@ -47,8 +48,11 @@
     return remaining.copy(streams = remaining.streams.remove(row.id)).updateIndexes(remaining.streams[row.id], null)
 }
 
-internal fun queueEntry(row: StreamRow): QueueEntry =
-    QueueEntry(row.id, row.key.organisation, row.work.priority, row.work.weight, row.work.costBound)
+/** Streams of one organisation and priority leave the queue in the order of arrival, which is that of their numbers. */
+internal fun queueEntry(row: StreamRow): QueueEntry<StreamId> {
+    val work = row.work
+    return QueueEntry(row.id, row.key.organisation, work.priority.ordinal, work.weight, work.costBound, row.id.value)
+}
 
 internal fun RoutingTables.group(id: UpstreamGroupId): GroupRow = groups[id] ?: GroupRow()
 
