--- a/admission/src/main/kotlin/org/ibismoor/admission/api/QueuePolicy.kt
+++ b/admission/src/main/kotlin/org/ibismoor/admission/api/QueuePolicy.kt
@@ -17,7 +17,7 @@
     /** Puts back an entry that was dequeued and could not be sent. Its organisation gets its turn back. */
     fun <K> restore(queue: QueueRow<K>, entry: QueueEntry<K>): QueueRow<K>
 
-    /** Estimated number of requests in [queue] that are taken before [entry], whether or not it is in the queue. */
+    /** Estimated number of requests in [queue] that would be taken before [entry], which is not in the queue yet. */
     fun <K> countAhead(queue: QueueRow<K>, entry: QueueEntry<K>): Int
 }
 
@@ -27,5 +27,11 @@
 /** Baseline: order of the entries, regardless of priority and organisation. */
 fun firstInFirstOut(): QueuePolicy = FirstInFirstOut
 
-/** Strict ranks; within one, weighted deficit round robin between organisations, counted in the entries' cost. */
-fun fairQueue(): QueuePolicy = FairQueue
+/** About the cost of a typical request, so that a turn serves few requests and few turns serve none. */
+private const val QUANTUM_TOKENS = 2_048L
+
+/**
+ * Strict ranks; within one, weighted deficit round robin between organisations, counted in the entries' cost. A turn
+ * adds [quantumTokens] by the weight of the organisation.
+ */
+fun fairQueue(quantumTokens: Long = QUANTUM_TOKENS): QueuePolicy = FairQueue(quantumTokens)
--- a/admission/src/main/kotlin/org/ibismoor/admission/internal/FairQueue.kt
+++ b/admission/src/main/kotlin/org/ibismoor/admission/internal/FairQueue.kt
@@ -14,10 +14,7 @@
 import org.ibismoor.admission.api.QueueRow
 import org.ibismoor.core.api.OrganisationId
 
-// About the cost of a typical request, so that a turn serves few requests and few turns serve none.
-private const val QUANTUM_TOKENS = 2_048L
-
-internal object FairQueue : QueuePolicy {
+internal class FairQueue(private val quantumTokens: Long) : QueuePolicy {
     override fun <K> enqueue(queue: QueueRow<K>, entry: QueueEntry<K>): QueueRow<K> =
         queue.withEntry(laneOf(entry), entry)
 
@@ -53,7 +50,7 @@
                 val next = remaining.copy(lanes = remaining.lanes.put(id, served)).withoutEntry(id, entry)
                 return DequeuedEntry(entry, next)
             }
-            remaining = endTurn(remaining, id, lane.copy(deficit = lane.deficit + QUANTUM_TOKENS * entry.weight))
+            remaining = endTurn(remaining, id, lane.copy(deficit = lane.deficit + quantumTokens * entry.weight))
         }
     }
 
--- a/admission/src/main/kotlin/org/ibismoor/admission/internal/QueueLanes.kt
+++ b/admission/src/main/kotlin/org/ibismoor/admission/internal/QueueLanes.kt
@@ -50,10 +50,10 @@
 
 internal fun <K> QueueLane<K>.first(): QueueEntry<K> = checkNotNull(schedule.first)
 
-/** Number of requests that are taken before one at [order], counted in whole intervals. */
+/** Number of requests that are taken before one at [order]; those of its own interval count too. */
 internal fun <K> QueueLane<K>.countBefore(order: Long): Int {
     val interval = Math.floorDiv(order, COUNT_INTERVAL)
-    return counts.entries.sumOf { (key, count) -> if (key < interval) count else 0 }
+    return counts.entries.sumOf { (key, count) -> if (key <= interval) count else 0 }
 }
 
 /** Drops removed requests from the head of the schedule, so that its first entry always waits. */
