Queue requests that no upstream has room for

Cause: each request was sent at once, also to upstreams that had last reported all slots in use and a long queue; their refusals cost attempts of the route. Change: with LoadPolicies.admissionQueue on, SelectionSystem sends a request only to an upstream with room, by the router's own count and the reported load by its age. Others wait in the queue of module admission, or are refused at once as not run with a drawn time to return. Retries, organisations far above their usual rate and callers that return early get only room that no other wants. A drain refuses queued requests that may outlast it. RouterHarness takes policies and sends bodies; no existing check changed. Not yet measured with the fleet's programs.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/Decision.kt
@@ -13,6 +13,7 @@
 enum class DecisionKind {
     REQUEST_SENT,
     REQUEST_REPEATED,
+    REQUEST_QUEUED,
     REQUEST_REFUSED,
     REQUEST_ENDED,
     CALLER_LEFT,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.ibismoor.admission.api.AdmissionTables
 import org.ibismoor.coordination.api.RouterState
 import org.ibismoor.core.api.DueQueue
 import org.ibismoor.core.api.OrganisationId
@@ -31,6 +32,10 @@
     val due: DueQueue<RequestNumber> = DueQueue.empty(),
     /** Requests that wait for an upstream or for tokens. */
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
+    /** Requests that wait for room at an upstream; they are not in [waiting]. */
+    val admission: AdmissionTables<RequestNumber> = AdmissionTables(),
+    /** When queued requests are looked at again; null if there are none. */
+    val roomCheckDueAt: Timestamp? = null,
     val prompts: PromptTables = PromptTables(),
     val crashedRequests: CrashedRequestTables = CrashedRequestTables(),
     val streams: StreamOriginTables = StreamOriginTables(),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTimes.kt
@@ -19,6 +19,7 @@
 private const val RETRY_AFTER_MILLIS = 250L
 private const val START_RETRY_AFTER_MILLIS = 1_000L
 private const val OTHER_ROUTER_RETRY_AFTER_MILLIS = 40L
+private const val ROOM_CHECK_INTERVAL_MILLIS = 20L
 private const val MAXIMUM_DRAIN_MILLIS = 7_600L
 private const val MAXIMUM_ELECTION_MILLIS = 1_700L
 private const val FIRST_EJECTION_MILLIS = 1_000L
@@ -70,6 +71,8 @@
     val startRetryAfterMillis: Long = START_RETRY_AFTER_MILLIS,
     /** The same if another router can serve at once: without contact with the control processes, or in a drain. */
     val otherRouterRetryAfterMillis: Long = OTHER_ROUTER_RETRY_AFTER_MILLIS,
+    /** Queued requests are looked at again after this time, since a reported load loses weight with its age. */
+    val roomCheckIntervalMillis: Long = ROOM_CHECK_INTERVAL_MILLIS,
     /**
      * The process exits this long after the start of a drain, even with open requests. Requests that arrive in a drain
      * and may last longer are refused.
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/LoadPolicies.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/LoadPolicies.kt
@@ -7,6 +7,8 @@
     val callerPlacement: CallerPlacement = CallerPlacement.DOMAIN,
     val upstreamPacing: PolicySwitch = PolicySwitch.OFF,
     val admissionQueue: PolicySwitch = PolicySwitch.OFF,
+    /** Limit of the request bytes that one upstream holds from all routers together; null if there is none. */
+    val maximumUpstreamBytes: Long? = null,
 )
 
 /** How a router chooses the routers that it names to a caller. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestHead.kt
@@ -20,4 +20,6 @@
     val digest: RequestDigest,
     /** Null if the caller asks for a whole answer. */
     val continuation: StreamContinuation? = null,
+    /** Size of the body. */
+    val bodyBytes: Long = 0,
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -59,6 +59,9 @@
 /** Waits to be sent to an upstream. */
 data object AwaitingUpstream : RequestPhase
 
+/** Waits since [since] for room at an upstream; the request is refused at [until], when too little time is left. */
+data class AwaitingRoom(val since: Timestamp, val until: Timestamp) : RequestPhase
+
 /** Waits for the answer of [upstream] to attempt number [attempt]. */
 data class AwaitingAnswer(
     val upstream: UpstreamId,
@@ -70,6 +73,8 @@
     val version: SoftwareVersion,
     /** The upstream has been silent for too long during this attempt. */
     val wasSilent: Boolean = false,
+    /** Size of the request that was sent. */
+    val bodyBytes: Long = 0,
 ) : RequestPhase
 
 /** An attempt that goes on although its upstream is silent; [silence] is the number of that silence. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -12,6 +12,8 @@
     val entry: UpstreamEntry,
     /** Requests that this router has in flight at the upstream. */
     val inFlight: Int = 0,
+    /** Size of the bodies of those requests. */
+    val inFlightBytes: Long = 0,
     /** Uncached prompt tokens of this router's requests without a first event. */
     val pendingPromptTokens: Long = 0,
     val load: UpstreamLoad? = null,
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/DeadlineSystem.kt
@@ -10,6 +10,7 @@
 import org.ibismoor.forwarding.api.AwaitingAllowance
 import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.AwaitingOrigin
+import org.ibismoor.forwarding.api.AwaitingRoom
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -36,6 +37,8 @@
                 refuseForAllowance(tables, request, RefusalReason.SHARE_EXHAUSTED, retryAfter, now)
             }
             phase is AwaitingOrigin && phase.until <= now -> refuseUnknownStream(tables, request, phase, now)
+            phase is AwaitingRoom && phase.until <= now ->
+                refuseWithoutRoom(tables, request, RefusalReason.QUEUE_DEADLINE, settings, now)
             request.dueAt <= now -> refuseOverdue(tables, request, now)
             else -> ForwardingStep(tables)
         }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/EngineAwareSelection.kt
@@ -28,7 +28,7 @@
 private const val FAILURE_REQUESTS = 20.0
 
 /** The weight of a reported load falls linearly to 0 at this age. */
-private const val LOAD_MAXIMUM_AGE_MILLIS = 2_000.0
+internal const val LOAD_MAXIMUM_AGE_MILLIS = 2_000.0
 
 /** Scores this close to the best tie and are drawn at random, so that routers with equal data choose differently. */
 private const val TIE_MARGIN = 0.5
@@ -57,7 +57,7 @@
 }
 
 /** Estimated requests at the upstream, from this router's own count and the last reported load. */
-private fun estimatedRequests(row: UpstreamRow, now: Timestamp): Double {
+internal fun estimatedRequests(row: UpstreamRow, now: Timestamp): Double {
     val load = row.load ?: return row.inFlight.toDouble()
     val weight = (1 - (now - load.reportedAt) / LOAD_MAXIMUM_AGE_MILLIS).coerceIn(0.0, 1.0)
     return maxOf(row.inFlight.toDouble(), (load.running + load.waiting) * weight + row.sentSinceLoad)
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -27,6 +27,7 @@
             RequestCrashSystem(),
             AvailabilitySystem(settings),
             SilentAttemptSystem(settings),
+            WorkTimeSystem(),
             AttemptSystem(settings),
             AllowanceSystem(settings),
             RequestQuarantineSystem(settings),
@@ -49,6 +50,7 @@
             tables.fleet.loadNoticeDueAt,
             tables.nextFetchAt(),
             tables.nextResumptionAt,
+            tables.roomCheckDueAt,
         ).minOrNull()
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/QuarantineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/QuarantineSystem.kt
@@ -99,7 +99,7 @@
 
     private fun refuseQuarantined(tables: ForwardingTables, now: Timestamp): ForwardingStep {
         if (tables.prompts.quarantines.isEmpty()) return ForwardingStep(tables)
-        val requests = tables.waiting.keys.mapNotNull(tables.requests::get).sortedBy { it.number }
+        val requests = tables.unsentRequests().sortedBy { it.number }
         return foldSteps(tables, requests) { table, request -> checkRequest(table, request, now) }
     }
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Refusals.kt
@@ -98,7 +98,7 @@
         Fact("unspent", allowance.unspent.takeIf { allowance.updatedAt != null }),
     )
 
-private fun LogDecision.withFacts(facts: List<Fact>) = LogDecision(decision.copy(facts = decision.facts + facts))
+internal fun LogDecision.withFacts(facts: List<Fact>) = LogDecision(decision.copy(facts = decision.facts + facts))
 
 internal fun resultText(result: AttemptResult): String =
     when (result) {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/RequestQuarantineSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/RequestQuarantineSystem.kt
@@ -91,7 +91,7 @@
 
     private fun refuseQuarantined(tables: ForwardingTables, now: Timestamp): ForwardingStep {
         if (tables.crashedRequests.quarantines.isEmpty()) return ForwardingStep(tables)
-        val requests = tables.waiting.keys.mapNotNull(tables.requests::get)
+        val requests = tables.unsentRequests()
             .filter { it.head.digest in tables.crashedRequests.quarantines }
             .sortedBy { it.number }
         return foldSteps(tables, requests) { table, request -> checkRequest(table, request, now) }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/Requests.kt
@@ -23,8 +23,13 @@
         requests = requests.remove(request.number),
         waiting = waiting.remove(request.number),
         streams = streams.withoutAwaiting(request.number),
+        admission = admission.withoutQueued(request.number, QUEUE_POLICY),
     )
 
+/** Requests that no upstream has, those in a queue among them. */
+internal fun ForwardingTables.unsentRequests(): List<RequestRow> =
+    (waiting.keys + admission.queued.keys).mapNotNull(requests::get)
+
 /** Attempt number [attempt] of the request if it is in flight, silent or not. */
 internal fun RequestRow.inFlightAttempt(attempt: Int): AwaitingAnswer? =
     listOfNotNull(phase as? AwaitingAnswer, silent?.phase).firstOrNull { it.attempt == attempt }
@@ -38,6 +43,7 @@
     return withUpdatedUpstream(phase) { row ->
         row.copy(
             inFlight = (row.inFlight - 1).coerceAtLeast(0),
+            inFlightBytes = (row.inFlightBytes - phase.bodyBytes).coerceAtLeast(0),
             pendingPromptTokens = (row.pendingPromptTokens - phase.pendingPromptTokens).coerceAtLeast(0),
         )
     }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -1,5 +1,5 @@
 /**
- * Sends waiting requests to upstreams in the order of priority and arrival.
+ * Sends waiting requests to upstreams in the order of priority and arrival, or through the queue of their group.
  */
 package org.ibismoor.forwarding.internal
 
@@ -8,10 +8,12 @@
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.foldSteps
+import org.ibismoor.core.api.then
 import org.ibismoor.forwarding.api.AttemptTerms
 import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.AwaitingUpstream
 import org.ibismoor.forwarding.api.DecisionKind
+import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -29,36 +31,51 @@
 internal class SelectionSystem(
     private val settings: ForwardingSettings,
     private val selection: UpstreamSelection,
-) : ForwardingSystem {
+) : ForwardingSystem, RequestDispatch {
+    private val queueing = QueuedDispatch(settings, this)
+
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep {
-        if (tables.waiting.isEmpty()) return ForwardingStep(tables)
+        val isIdle = tables.waiting.isEmpty() && tables.admission.queued.isEmpty()
+        if (isIdle && tables.roomCheckDueAt == null) return ForwardingStep(tables)
         val dispatchableRequests = tables.waiting.keys
             .mapNotNull(tables.requests::get)
             .filter { it.phase is AwaitingUpstream }
         val ordered = dispatchableRequests.sortedWith(compareBy({ it.priority }, { it.number }))
-        return foldSteps(tables, ordered) { table, request -> dispatchRequest(table, request, tick.now) }
+        val isDrainStarting = tick.messages.any { it is DrainStarted }
+        val returns = tables.admission.returns.withoutDue(tick.now)
+        val current = tables.copy(admission = tables.admission.copy(returns = returns))
+        return ForwardingStep(current)
+            .then { if (isDrainStarting) queueing.startDrain(it, tick.now) else ForwardingStep(it) }
+            .then { foldSteps(it, ordered) { table, request -> dispatchRequest(table, request, tick.now) } }
+            .then { queueing.sendQueued(it, tick.now) }
     }
 
     private fun dispatchRequest(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
+        if (tables.isQueueing(request.group, settings)) return queueing.dispatchRequest(tables, request, now)
         val candidates = candidates(tables, request, now)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
-            tables.isVersionGone(request) -> refuseVersionGone(tables, request, settings, now)
-            else -> {
-                val retryAfterMillis = retryAfterMillis(tables, request, now)
-                refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
-            }
+            else -> refuseUnserved(tables, request, now)
         }
     }
 
+    override fun refuseUnserved(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep =
+        if (tables.isVersionGone(request)) {
+            refuseVersionGone(tables, request, settings, now)
+        } else {
+            val retryAfterMillis = retryAfterMillis(tables, request, now)
+            refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
+        }
+
     /**
      * Ejected upstreams are used only if there are no others; those in a pause never, and for a stream that has begun
      * none of another version, which would write a different text. Leaving ones only end streams of their version.
      */
-    private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
+    override fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
         val usable = tables.upstreams.values.filter {
             it.entry.group == request.group && request.mayUse(it.entry) && !it.isPaused(now) &&
-                it.hasResumed(now, settings.times.resumptionMillis)
+                it.hasResumed(now, settings.times.resumptionMillis) &&
+                it.hasMemoryFor(request, tables, settings.policies.maximumUpstreamBytes)
         }
         val staying = usable.filter { !it.isLeaving }
         val sound = staying.filterNot { it.isEjected(now) }.ifEmpty { staying }
@@ -73,7 +90,7 @@
         return maxOf(settings.times.retryAfterMillis, pauses.minOrNull() ?: 0)
     }
 
-    private fun sendAttempt(
+    override fun sendAttempt(
         tables: ForwardingTables,
         request: RequestRow,
         candidates: List<UpstreamRow>,
@@ -84,7 +101,14 @@
         val attempt = request.attempts + 1
         val silence = request.silent?.silence
         val sentRequest = request.copy(
-            phase = AwaitingAnswer(row.entry.id, attempt, now, uncached, row.entry.version),
+            phase = AwaitingAnswer(
+                row.entry.id,
+                attempt,
+                now,
+                uncached,
+                row.entry.version,
+                bodyBytes = request.head.bodyBytes,
+            ),
             attempts = attempt,
             triedUpstreams = request.triedUpstreams.add(row.entry.id),
         )
@@ -125,6 +149,7 @@
         val keptParts = if (sentParts.size > MAXIMUM_SENT_PARTS) sentParts.clear() else sentParts
         return copy(
             inFlight = inFlight + 1,
+            inFlightBytes = inFlightBytes + request.head.bodyBytes,
             sentSinceLoad = sentSinceLoad + 1,
             pendingPromptTokens = pendingPromptTokens + uncached,
             sentParts = request.head.prompt?.parts.orEmpty().fold(keptParts) { table, part -> table.put(part.id, now) },
@@ -149,7 +174,7 @@
     }
 }
 
-private fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
+internal fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
     entry.id !in triedUpstreams && (streamVersion == null || entry.version == streamVersion)
 
 /** True if the list has no upstream that could ever go on with the stream of [request]. */
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -34,6 +34,7 @@
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTimes
 import org.ibismoor.forwarding.api.GroupSettings
+import org.ibismoor.forwarding.api.LoadPolicies
 import org.ibismoor.forwarding.api.OrganisationRow
 import org.ibismoor.forwarding.api.PromptPart
 import org.ibismoor.forwarding.api.PromptShape
@@ -63,6 +64,7 @@
     session: SessionId = SessionId("a"),
     times: ForwardingTimes = ForwardingTimes(),
     seed: Long = 1,
+    policies: LoadPolicies = LoadPolicies(),
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -72,6 +74,7 @@
         retrySlack = 600,
         retryWindowMillis = 10_000,
         times = times,
+        policies = policies,
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
@@ -168,6 +171,16 @@
         return number
     }
 
+    /** Sends a request with a body of [bytes] bytes. */
+    fun sendBody(path: String, bytes: Long): RequestNumber {
+        val number = RequestNumber(nextNumber++)
+        val digest = RequestDigest("digest-${number.value}")
+        val callId = "call-${number.value}"
+        val head = RequestHead(callId, "desk.example", path, KEY, 4_000, null, digest, bodyBytes = bytes)
+        post(RequestArrived(number, head))
+        return number
+    }
+
     fun endAttempt(number: RequestNumber, result: AttemptResult) {
         val attempt = sentAttempts.last { it.number == number }.attempt
         post(AttemptEnded(number, attempt, result))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -24,6 +24,7 @@
 
     init {
         registry.registerGauge("ibismoor_requests") { tables().requests.size }
+        registry.registerGauge("ibismoor_queued_requests") { tables().admission.queued.size }
         registry.registerGauge("ibismoor_configuration_version") { tables().configuration?.version ?: 0 }
         registry.registerGauge("ibismoor_allowance_held_tokens") { tables().allowances.values.sumOf { it.held } }
         registry.registerGauge("ibismoor_log_lines_dropped", droppedLines)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -142,6 +142,7 @@
             fields.prompt,
             request.digest(),
             fields.continuation,
+            request.body.size.toLong(),
         )
         post(RequestArrived(number, head))
         return exchange
