--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterTraffic.kt
@@ -153,6 +153,7 @@
             fields.prompt,
             request.digest(),
             fields.continuation,
+            request.body.size.toLong(),
         )
         post(RequestArrived(number, head))
         return exchange
