Offer the own router by room only while it is ready

Cause: a router alone on the list offered itself while it drained, and with a list of an earlier release it drew itself by its room and others by their cores, which do not compare.

Change: the own router is offered only while it is ready, and with its room only if the list has rooms.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
@@ -50,11 +50,12 @@
 
 /** All routers of the last list. Callers leave out those that fail, and in a partition no list says which do. */
 private fun ForwardingTables.offeredRouters(settings: ForwardingSettings, now: Timestamp): List<RouterEntry> {
-    val own = settings.entry.copy(room = placement.room, loadPerMille = placement.loadPerMille)
+    // Rooms and cores do not compare, and a list of an earlier release has no rooms.
+    val own = settings.entry.copy(room = placement.room.takeIf { fleet.routers.any { it.room != null } })
     val others = fleet.routers.filter { it.address != own.address }
     val isListed = others.size < fleet.routers.size
-    val isOffered = state == RouterState.READY && (isListed || !hasLeaderContact(now))
-    return if (isOffered || others.isEmpty()) others + own else others
+    val isWanted = isListed || others.isEmpty() || !hasLeaderContact(now)
+    return if (isWanted && state == RouterState.READY) others + own else others
 }
 
 private fun ForwardingTables.weightFor(entry: RouterEntry, domain: FailureDomainId, now: Timestamp): Double {
