Let tokens follow callers that are placed by room

Cause: in a partition between routers and control processes a router spends what it holds. It was expected to get an even part of the demand, whatever its room; a request that lacked tokens asked four routers once; and in the first 0.8 s, before the leader counts as lost, it asked none and was refused after 250 ms.

Change: where callers are placed by room, the expected part is in proportion to the room. A request that still lacks tokens asks four more routers every 10 ms within its wait of 40 ms, and asks after 100 ms without the leader's answer. The bound of a quarter of what is unspent and the messages are unchanged; with other placements nothing changes.

LargeFleetPowerLossTest, PowerLossTest, AdvanceLimitTest, AllowanceTest and AllowanceUpdateTest pass unchanged, as do CallerPlacementTest and RoomDemandTest. BudgetFleet has a parameter for the policies.

--- a/coordination/src/main/kotlin/org/ibismoor/coordination/internal/DemandShares.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/internal/DemandShares.kt
@@ -21,7 +21,9 @@
     private val settings: CoordinationSettings,
     callers: List<RouterEntry>,
 ) {
-    private val callerAddresses = callers.mapTo(HashSet()) { it.address }
+    /** Callers placed by room use a router in proportion to its room, and others use all routers alike. */
+    private val callerParts = callers.associate { it.address to (it.room ?: 1).toDouble() }
+    private val totalParts = callerParts.values.sum()
 
     /** True if [demand] arrives at the router of [session] nearly alone, whose callers then stay there. */
     fun hasPersistentCallers(session: SessionId, demand: DemandRow?): Boolean =
@@ -29,15 +31,16 @@
 
     /** Callers may move to this router from the others, unless they have stayed at one of these. */
     fun evenDemand(entry: RouterEntry, session: SessionId, demand: DemandRow?): Double {
-        val isExpected = demand != null && entry.address in callerAddresses &&
+        val part = callerParts[entry.address]
+        val isExpected = demand != null && part != null &&
             (demand.highestSession == session || !isConcentrated(demand))
-        return if (isExpected) demand.total / callerAddresses.size else 0.0
+        return if (isExpected) demand.total * part / totalParts else 0.0
     }
 
     /** The demand by which [router] takes part in the division; 0 for one that holds nothing in advance. */
     fun weight(router: RouterRow, ownDemand: Double, demand: DemandRow?): Double {
         val isHolding = !tables.isColocated(router) || hasPersistentCallers(router.session, demand)
-        val idleDemand = if (router.entry.address in callerAddresses) IDLE_DEMAND_PER_SECOND else 0.0
+        val idleDemand = if (router.entry.address in callerParts) IDLE_DEMAND_PER_SECOND else 0.0
         val expectedDemand = maxOf(ownDemand, evenDemand(router.entry, router.session, demand))
         return if (isHolding) expectedDemand + idleDemand else 0.0
     }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/LoanSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/LoanSystem.kt
@@ -6,7 +6,9 @@
 
 import org.ibismoor.core.api.OrganisationId
 import org.ibismoor.core.api.Tick
+import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.foldSteps
+import org.ibismoor.core.api.then
 import org.ibismoor.forwarding.api.AnswerLoan
 import org.ibismoor.forwarding.api.AwaitingAllowance
 import org.ibismoor.forwarding.api.DecisionKind
@@ -17,23 +19,43 @@
 import org.ibismoor.forwarding.api.LoanRequested
 import org.ibismoor.forwarding.api.RequestArrived
 import org.ibismoor.forwarding.api.RequestLoan
+import org.ibismoor.forwarding.api.RequestNumber
+import org.ibismoor.forwarding.api.isPlacedByRoom
 
 /** Routers to which a loan request is sent at the same time. */
 private const val LENDERS_PER_REQUEST = 4
 
+/**
+ * Time after which other routers are asked for what a request still lacks: a round trip between failure domains. In a
+ * large fleet, the tokens of a small organisation are at a few routers.
+ */
+private const val LOAN_ROUND_MILLIS = 10L
+
+/**
+ * Time without an answer of the leader after which a request borrows before the leader counts as lost. The leader
+ * usually answers within 35 ms, and it counts as lost after 800 ms, more than a request waits for it.
+ */
+private const val LEADER_ANSWER_MILLIS = 100L
+
 internal class LoanSystem(private val settings: ForwardingSettings) : ForwardingSystem {
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep =
         foldSteps(tables, tick.messages) { table, message ->
             when (message) {
                 is LoanRequested -> lendTokens(table, message)
                 is LoanReceived -> ForwardingStep(table.withLoan(message))
-                is RequestArrived -> if (table.isControlLost(tick.now, settings)) {
-                    requestTokens(table, message)
-                } else {
-                    unchanged(table)
-                }
+                is RequestArrived -> requestTokens(table, message.number, tick.now)
                 else -> unchanged(table)
             }
+        }.then { requestFurtherTokens(it, tick.now) }
+
+    /** Where callers are placed by room, requests for an organisation reach many routers, which hold little of it. */
+    private fun requestFurtherTokens(tables: ForwardingTables, now: Timestamp): ForwardingStep =
+        if (tables.isPlacedByRoom(settings)) {
+            foldSteps(tables, tables.due.take(now).entries.map { it.id }.distinct()) { table, number ->
+                requestTokens(table, number, now)
+            }
+        } else {
+            unchanged(tables)
         }
 
     private fun unchanged(tables: ForwardingTables): ForwardingStep = ForwardingStep(tables)
@@ -58,15 +80,26 @@
         return withAllowance(message.organisation, row.copy(borrowed = row.borrowed + message.tokens))
     }
 
-    private fun requestTokens(tables: ForwardingTables, message: RequestArrived): ForwardingStep {
-        val request = tables.requests[message.number]?.takeIf { it.phase is AwaitingAllowance }
+    private fun requestTokens(tables: ForwardingTables, number: RequestNumber, now: Timestamp): ForwardingStep {
+        val request = tables.requests[number]
+        val phase = request?.phase as? AwaitingAllowance
         val organisation = request?.organisation
         val cost = request?.head?.prompt?.maximumCost
-        if (organisation == null || cost == null) return unchanged(tables)
+        if (phase == null || organisation == null || cost == null) return unchanged(tables)
         val missingTokens = cost - tables.allowanceOf(organisation).available
-        return if (missingTokens > 0) requestLoans(tables, organisation, missingTokens) else unchanged(tables)
+        val isLost = tables.isControlLost(now, settings)
+        val isDue = isLost || tables.isPlacedByRoom(settings) && now - phase.since >= LEADER_ANSWER_MILLIS
+        val next = tables.withLoanRound(number, now + if (isLost) LOAN_ROUND_MILLIS else LEADER_ANSWER_MILLIS)
+        return when {
+            missingTokens <= 0 || phase.until <= now -> unchanged(tables)
+            isDue -> requestLoans(next, organisation, missingTokens)
+            else -> unchanged(next)
+        }
     }
 
+    private fun ForwardingTables.withLoanRound(number: RequestNumber, at: Timestamp): ForwardingTables =
+        if (isPlacedByRoom(settings)) copy(due = due.plus(at, number)) else this
+
     private fun requestLoans(tables: ForwardingTables, organisation: OrganisationId, tokens: Long): ForwardingStep {
         val others = tables.fleet.routers.map { it.address }.filter { it != settings.entry.address }
         val first = if (others.isEmpty()) 0 else tables.random.below(others.size.toLong()).toInt()
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/BudgetFleet.kt
@@ -24,6 +24,7 @@
 import org.ibismoor.forwarding.api.ForwardingEffect
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
+import org.ibismoor.forwarding.api.LoadPolicies
 import org.ibismoor.forwarding.api.LoanReceived
 import org.ibismoor.forwarding.api.LoanRequested
 import org.ibismoor.forwarding.api.PromptShape
@@ -57,6 +58,7 @@
     private val callers: Callers,
     private val routerCount: Int = 2,
     upstreams: List<UpstreamEntry> = upstreams(),
+    private val policies: LoadPolicies = LoadPolicies(),
 ) {
     private val random = Random(seed)
     private val configuration = configurationOf(1, budgets)
@@ -126,6 +128,7 @@
             retryRatio = 0.2,
             retrySlack = 600,
             retryWindowMillis = 10_000,
+            policies = policies,
         )
         private val machine = createForwarding(settings)
         private var tables =
