--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/AddressAnswer.kt
@@ -22,6 +22,11 @@
 private const val MAXIMUM_ROOM_AGE_MILLIS = 3_000L
 private const val STALE_ROOM_PER_CORE = 100.0
 
+private const val FULL_LOAD_PER_MILLE = 1_000
+
+/** With one router, its loss would leave callers without an address. */
+private const val MINIMUM_CONNECTED_ROUTERS = 2
+
 data class AddressAnswer(val routers: List<RouterEntry>, val validSeconds: Int)
 
 /** True if [settings] allow the placement by room and the leader's list asks for it. */
@@ -51,20 +56,32 @@
 }
 
 /**
- * The routers of the last list. In a partition, those with contact to the leader can still get tokens, so the others
- * are left out, this router too; if none is known to have contact, all are offered.
+ * The routers of the last list. A partition between the VMs of control processes and the others leaves the routers of
+ * the former connected to the leader, which has the tokens that the others lack, so a router without contact names
+ * those, unless they have said that they have none either or are too few for all requests.
  */
 private fun ForwardingTables.offeredRouters(settings: ForwardingSettings, now: Timestamp): List<RouterEntry> {
-    val own = settings.entry.copy(room = placement.room, loadPerMille = placement.loadPerMille)
+    // Rooms and cores do not compare, and a list of an earlier release has no rooms.
+    val own = settings.entry.copy(room = placement.room.takeIf { fleet.routers.any { it.room != null } })
     val others = fleet.routers.filter { it.address != own.address }
     val isListed = others.size < fleet.routers.size
-    val connected = others.filter { it.address !in fleet.separatedRouters }
-    val offered = when {
-        hasLeaderContact(now) && isListed && state == RouterState.READY -> connected + own
-        hasLeaderContact(now) || state == RouterState.DRAINING -> connected.ifEmpty { others }
-        else -> connected.ifEmpty { others + own }
+    val isSeparated = !hasLeaderContact(now)
+    val connected = others.filter { isSeparated && it.isBesideControl(fleet) && it.address !in fleet.separatedRouters }
+    val isWanted = isListed || others.isEmpty() || isSeparated
+    return when {
+        connected.size >= MINIMUM_CONNECTED_ROUTERS && canCarryAll(connected) -> connected
+        isWanted && state == RouterState.READY -> others + own
+        else -> others
     }
-    return offered.ifEmpty { listOf(own).filter { state == RouterState.READY } }
+}
+
+internal fun RouterEntry.isBesideControl(fleet: FleetRow): Boolean =
+    address.substringBeforeLast(':') in fleet.controlHosts
+
+/** True if the requests that all routers had according to the leader's last list leave half of [routers] free. */
+private fun ForwardingTables.canCarryAll(routers: List<RouterEntry>): Boolean {
+    val load = fleet.routers.sumOf { it.cores * (it.loadPerMille ?: 0) }
+    return load <= routers.sumOf { it.cores } * FULL_LOAD_PER_MILLE / 2
 }
 
 private fun ForwardingTables.weightFor(entry: RouterEntry, domain: FailureDomainId, now: Timestamp): Double {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ContactSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ContactSystem.kt
@@ -16,8 +16,13 @@
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.ReportAnswered
 import org.ibismoor.forwarding.api.ReportLost
+import org.ibismoor.forwarding.api.isBesideControl
+import org.ibismoor.forwarding.api.isPlacedByRoom
 
-/** Limit of routers that are asked, since each of them is asked by every separated router. */
+/**
+ * Limit of routers that are asked, since each of them is asked by every separated router. With placement by room only
+ * those on the VMs of control processes are asked, which may differ from the others in their contact.
+ */
 private const val MAXIMUM_ASKED_ROUTERS = 8
 
 internal class ContactSystem(private val settings: ForwardingSettings) : ForwardingSystem {
@@ -32,9 +37,10 @@
         }
 
     private fun askContact(tables: ForwardingTables, isControlLost: Boolean): ForwardingStep {
-        val others = tables.fleet.routers.map { it.address }.filter { it != settings.entry.address }
-        val isAsked = isControlLost && others.isNotEmpty() && others.size <= MAXIMUM_ASKED_ROUTERS
-        return ForwardingStep(tables, listOf(AskContact(others)).filter { isAsked })
+        val others = tables.fleet.routers.filter { it.address != settings.entry.address }
+        val asked = if (tables.isPlacedByRoom(settings)) others.filter { it.isBesideControl(tables.fleet) } else others
+        val isAsked = isControlLost && asked.isNotEmpty() && asked.size <= MAXIMUM_ASKED_ROUTERS
+        return ForwardingStep(tables, listOf(AskContact(asked.map { it.address })).filter { isAsked })
     }
 
     private fun recordContact(tables: ForwardingTables, message: ContactAnswered): ForwardingStep {
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/AddressAnswerTest.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/AddressAnswerTest.kt
@@ -64,6 +64,22 @@
         offered shouldContainExactlyInAnyOrder ROOMS.map { it.address } + OWN_ENTRY.address
     }
 
+    "a router that has lost the leader offers the routers beside control processes" {
+        // Guards against callers that stay at routers without tokens while those beside control processes have both.
+        val router = RouterHarness().start()
+        val controlHosts = ROOMS.take(3).map { it.address.substringBeforeLast(':') }
+        val listed = router.tables.withRouters(ROOMS)
+        val tables = listed.copy(fleet = listed.fleet.copy(controlHosts = controlHosts))
+        val later = router.now + 5_000
+        tables.offeredAt(later) shouldContainExactlyInAnyOrder ROOMS.take(3).map { it.address }
+        val separated = tables.fleet.separatedRouters.add(ROOMS.first().address)
+        val next = tables.copy(fleet = tables.fleet.copy(separatedRouters = separated))
+        next.offeredAt(later) shouldContainExactlyInAnyOrder ROOMS.take(3).drop(1).map { it.address }
+        val busy = ROOMS.map { it.copy(loadPerMille = 400) }
+        tables.withRouters(busy).offeredAt(later) shouldContainExactlyInAnyOrder
+            ROOMS.map { it.address } + OWN_ENTRY.address
+    }
+
     "two routers are offered even if one has nearly all room" {
         val router = RouterHarness().start()
         val rooms = ROOMS.take(3).mapIndexed { index, entry -> entry.copy(room = if (index == 1) 1_000 else 1) }
@@ -81,6 +97,9 @@
 private fun ForwardingTables.withRouters(routers: List<RouterEntry>): ForwardingTables =
     copy(fleet = fleet.copy(routers = routers))
 
+private fun ForwardingTables.offeredAt(now: Timestamp): Set<String> =
+    (0L until 1_000L).flatMap { answer(now, it).routers }.map { it.address }.toSet()
+
 private fun ForwardingTables.answer(
     now: Timestamp,
     draw: Long,
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/PlacementFleet.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/PlacementFleet.kt
@@ -4,8 +4,6 @@
  */
 package org.ibismoor.forwarding
 
-import java.util.PriorityQueue
-import kotlin.random.Random
 import org.ibismoor.coordination.api.ReportAnswer
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.coordination.api.RouterReport
@@ -42,6 +40,8 @@
 import org.ibismoor.forwarding.api.addressAnswer
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
+import java.util.PriorityQueue
+import kotlin.random.Random
 
 private const val STEP_MILLIS = 10L
 private const val NETWORK_MILLIS = 2L
