Use the pace of upstreams in routing instead of a slow start by time

Cause: after an ejection an upstream got a growing tenth of its requests for 10 s, whatever it answered. The adaptive limit of a group was a second implementation of the same rules.

Change: `pacing` limits the requests in flight at an upstream that was ejected or has started again, from one, doubling with each round, without limit from 32 on. The limit of the group uses `AdaptiveLimit` with its former factor of nine tenths. Upstreams declare no slots here and the length of an answer depends on its request, so refusals alone lower the limit.

Measured: RoutingPolicyTest, UnreachableUpstreamTest, RequestLifecycleTest, LedgerSilenceTest, StartedAnswerTest and RoutingIsPureTest pass unchanged.

--- a/routing/src/main/kotlin/org/ibismoor/routing/api/ConcurrencyPolicy.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/api/ConcurrencyPolicy.kt
@@ -3,8 +3,8 @@
  */
 package org.ibismoor.routing.api
 
-import org.ibismoor.routing.internal.AdaptiveConcurrency
 import org.ibismoor.routing.internal.FixedConcurrency
+import org.ibismoor.routing.internal.PacedConcurrency
 
 interface ConcurrencyPolicy {
     /** Maximum number of active requests; [upperBound] is the limit from the settings. */
@@ -21,4 +21,4 @@
 fun fixedConcurrency(): ConcurrencyPolicy = FixedConcurrency
 
 /** Lowers the limit by a tenth after a refusal by an upstream and raises it by one for each round of answers. */
-fun adaptiveConcurrency(): ConcurrencyPolicy = AdaptiveConcurrency
+fun adaptiveConcurrency(): ConcurrencyPolicy = PacedConcurrency
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/MembershipSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/MembershipSystem.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.membership.api.UpstreamReport
+import org.ibismoor.pacing.api.PaceEvent
 import org.ibismoor.routing.api.ConfigurationChanged
 import org.ibismoor.routing.api.ReportsReceived
 import org.ibismoor.routing.api.RoutingMessage
@@ -72,7 +73,8 @@
         val isBack = row.isLeaving && !report.isLeaving && report.startId != row.leavingStartId
         val next = when {
             report.isLeaving -> updated.copy(isLeaving = true, leavingStartId = report.startId)
-            isBack -> updated.copy(isLeaving = false, leavingStartId = null, readmittedAt = now)
+            isBack -> updated.copy(isLeaving = false, leavingStartId = null)
+                .withPace(PaceEvent.Returned(coldMillis = 0), now)
             else -> updated
         }
         return tables.withUpstream(next)
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/SelectionSystem.kt
@@ -4,7 +4,6 @@
 package org.ibismoor.routing.internal
 
 import kotlinx.collections.immutable.persistentListOf
-import org.ibismoor.core.api.SeededRandom
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamId
@@ -63,18 +62,18 @@
             val input = SelectionInput(remaining, tables.upstreams, prefixes, domain, dispatchCount, random, now)
             val selected = settings.selection.select(input)
             random = random.advance().advance()
-            val isAccepted = remaining.size == 1 || !isThrottled(tables.upstreams.getValue(selected), random, now)
+            val isAccepted = remaining.size == 1 || !isThrottled(tables.upstreams.getValue(selected), now)
             if (isAccepted) return dispatch(tables.copy(random = random.advance()), row, selected, now)
             remaining = remaining - selected
         }
     }
 
     /**
-     * After an ejection, an upstream gets a growing fraction of the requests selected for it (slow start). After a
+     * After an ejection or a restart, the pace limits the requests in flight at an upstream. After a
      * connection failure it gets one request at a time until it answers, since each may wait for a connect time-out.
      */
-    private fun isThrottled(row: UpstreamRow, random: SeededRandom, now: Timestamp): Boolean =
-        (row.failedConnects > 0 && row.inFlight > 0) || random.below(TENTHS) >= row.slowStartTenths(now)
+    private fun isThrottled(row: UpstreamRow, now: Timestamp): Boolean =
+        (row.failedConnects > 0 && row.inFlight > 0) || !row.pace.allowsRamp(row.inFlight, now)
 
     private fun dispatch(tables: RoutingTables, row: StreamRow, id: UpstreamId, now: Timestamp): RoutingStep {
         val group = tables.group(row.work.route.group)
@@ -101,6 +100,5 @@
 
     private companion object {
         const val SELECTION_RETRY_MILLIS = 50L
-        const val TENTHS = 10L
     }
 }
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamAnswerSystem.kt
@@ -62,7 +62,7 @@
             ?: return tables.step()
         val completion = Completion(message.cost, message.status, now)
         val answeredRow = row.copy(phase = StreamPhase.ANSWERED, completion = completion)
-        val withSuccess = tables.recordSuccess(message.upstream)
+        val withSuccess = tables.recordSuccess(message.upstream, now)
             .updateGroup(row) { settings.concurrency.applyAnswer(it) }
         val withAnswerSize = updateAnswerSize(withSuccess, row, message.cost)
         val waitsForLedger = row.work.isIdempotent && row.reservation?.pending != null
@@ -95,7 +95,8 @@
         )
         val failureStep = when (message.failure) {
             AttemptFailure.NOT_SENT -> tables.recordConnectFailure(message.upstream, now)
-            AttemptFailure.REFUSED -> tables.updateGroup(row) { settings.concurrency.applyRefusal(it) }.step()
+            AttemptFailure.REFUSED -> tables.recordRefusal(message.upstream, now)
+                .updateGroup(row) { settings.concurrency.applyRefusal(it) }.step()
             else -> tables.recordFailure(message.upstream, now)
         }
         return failureStep.then {
--- a/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamTable.kt
+++ b/routing/src/main/kotlin/org/ibismoor/routing/internal/UpstreamTable.kt
@@ -7,6 +7,7 @@
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
 import org.ibismoor.core.api.UpstreamId
+import org.ibismoor.pacing.api.PaceEvent
 import org.ibismoor.routing.api.CountEvent
 import org.ibismoor.routing.api.RoutingEvent
 import org.ibismoor.routing.api.RoutingTables
@@ -35,9 +36,11 @@
     return withGroup(id, group.copy(usable = usable.toPersistentList())).markForAdmission(id)
 }
 
-internal fun RoutingTables.recordSuccess(id: UpstreamId): RoutingTables {
-    val row = upstreams[id]?.takeIf { it.failures > 0 || it.failedConnects > 0 } ?: return this
-    return copy(upstreams = upstreams.put(id, row.copy(failures = 0, failedConnects = 0)))
+/** The length of an answer depends on its request, so that answers raise the limit and their delay never lowers it. */
+internal fun RoutingTables.recordSuccess(id: UpstreamId, now: Timestamp): RoutingTables {
+    val row = upstreams[id]?.takeIf { it.failures > 0 || it.failedConnects > 0 || it.pace.ramp != null } ?: return this
+    val answered = PaceEvent.Answered(delayMillis = 0, active = (row.inFlight - 1).coerceAtLeast(0))
+    return copy(upstreams = upstreams.put(id, row.copy(failures = 0, failedConnects = 0).withPace(answered, now)))
 }
 
 /**
@@ -80,5 +83,5 @@
 /** Ends the ejection of an upstream if it is due. */
 internal fun RoutingTables.readmitUpstream(id: UpstreamId, now: Timestamp): RoutingTables {
     val row = upstreams[id]?.takeIf { it.ejectedUntil != null && checkNotNull(it.ejectedUntil) <= now } ?: return this
-    return withUpstream(row.copy(ejectedUntil = null, readmittedAt = now))
+    return withUpstream(row.copy(ejectedUntil = null).withPace(PaceEvent.Returned(coldMillis = 0), now))
 }
