Pace cold, started and recovered upstreams in forwarding

Cause: `coldRemainingMs` of the list was unused, and an upstream that had started or recovered got its full part of the requests at once.

Change: `UpstreamRow.pace`, with events from the list, `X-Ibismoor-Cold-Ms` of answers, results of attempts, and the ends of ejections and pauses. One predicate in the candidates of the selection keeps the cold bound (`coldPerS` and `coldStartS` of a service); limits in flight (`--upstream-pacing`) only prefer other upstreams. Refusals for the bound carry the time until the next permitted send. Log events upstream_cold, upstream_paced and upstream_unpaced, gauge ibismoor_upstreams_paced.

The other tests of gateway and platform were not run.

Conclusion: off without the settings.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -25,6 +25,9 @@
 data class AvailabilityAnnounced(val upstream: UpstreamId, val isLeaving: Boolean, val pauseMillis: Long?) :
     ForwardingMessage
 
+/** An answer of [upstream] said that it is cold for [remainingMillis] from its arrival. */
+data class ColdAnnounced(val upstream: UpstreamId, val remainingMillis: Long) : ForwardingMessage
+
 /** Attempt number [attempt] has ended. */
 data class AttemptEnded(val number: RequestNumber, val attempt: Int, val result: AttemptResult) : ForwardingMessage
 
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -5,6 +5,7 @@
 
 import org.ibismoor.coordination.api.RouterEntry
 import org.ibismoor.core.api.RouterId
+import org.ibismoor.pacing.api.PaceSettings
 
 data class ForwardingSettings(
     val router: RouterId,
@@ -18,4 +19,5 @@
     val retryWindowMillis: Long,
     val times: ForwardingTimes = ForwardingTimes(),
     val policies: LoadPolicies = LoadPolicies(),
+    val pacing: PaceSettings = PaceSettings(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.pacing.api.PaceRow
 
 data class UpstreamRow(
     val entry: UpstreamEntry,
@@ -23,6 +24,8 @@
     val sentParts: PersistentMap<String, Timestamp> = persistentHashMapOf(),
     /** Load that other routers have put on the upstream, by the address of the router. */
     val peerLoads: PersistentMap<String, PeerLoad> = persistentHashMapOf(),
+    /** Null until the list with the upstream has been applied. */
+    val pace: PaceRow? = null,
 ) {
     /** True if the list or the upstream itself says so. */
     val isLeaving: Boolean get() = entry.isLeaving || availability.leavingSince != null
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AttemptSystem.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.foldSteps
+import org.ibismoor.core.api.then
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptEnded
@@ -36,7 +37,9 @@
         foldSteps(tables, tick.messages) { table, message ->
             when (message) {
                 is AttemptEnded -> endAttempt(table, message, tick.now)
-                is FirstEventArrived -> ForwardingStep(recordFirstEvent(table, message, tick.now))
+                is FirstEventArrived ->
+                    table.withPaceOfFirstEvent(message, settings, tick.now)
+                        .then { ForwardingStep(recordFirstEvent(it, message, tick.now)) }
                 is CallerDisconnected -> cancelRequest(table, message)
                 else -> ForwardingStep(table)
             }
@@ -86,7 +89,7 @@
         result: AttemptResult,
         now: Timestamp,
     ): ForwardingStep {
-        val healthStep = tables.recordResult(phase, result, now, settings.times)
+        val healthStep = tables.recordResult(phase, result, now, settings)
         return when {
             result is Delivered -> completeRequest(healthStep.tables, request, result, now)
             request.silent != null -> ForwardingStep(healthStep.tables.withSilentOnly(request.afterResult(result)))
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AvailabilitySystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/AvailabilitySystem.kt
@@ -17,6 +17,7 @@
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.UpstreamRow
+import org.ibismoor.pacing.api.PaceEvent
 
 internal class AvailabilitySystem(private val settings: ForwardingSettings) : ForwardingSystem {
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep {
@@ -86,6 +87,7 @@
         val availability = row.availability.copy(pausedUntil = null, resumedAt = now)
         val decision = logDecision(DecisionKind.UPSTREAM_RESUMED, null, "upstream" to row.entry.id)
         return ForwardingStep(tables.withAvailability(row.entry.id, availability), listOf(decision))
+            .then { it.withPaceEvent(row.entry.id, PaceEvent.Returned(coldMillis = 0), settings, now) }
     }
 }
 
@@ -94,7 +96,7 @@
 
 internal fun UpstreamRow.isPaused(now: Timestamp): Boolean = availability.pausedUntil.let { it != null && it > now }
 
-/** True while the upstream may get another request after a pause. */
+/** True while the upstream may get another request after a pause. Upstreams with a pace need no such limit. */
 internal fun UpstreamRow.hasResumed(now: Timestamp, resumptionMillis: Long): Boolean {
     val resumedAt = availability.resumedAt
     val elapsed = resumedAt?.let { now - it } ?: resumptionMillis
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -20,6 +20,7 @@
             FleetSystem(settings),
             ContactSystem(settings),
             ConfigurationSystem(settings),
+            PaceSystem(settings),
             ArrivalSystem(settings),
             StreamOriginSystem(settings),
             LoanSystem(settings),
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -30,6 +30,8 @@
     private val settings: ForwardingSettings,
     private val selection: UpstreamSelection,
 ) : ForwardingSystem {
+    private val pacing = UpstreamPacing(settings)
+
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep {
         if (tables.waiting.isEmpty()) return ForwardingStep(tables)
         val dispatchableRequests = tables.waiting.keys
@@ -58,19 +60,24 @@
     private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
         val usable = tables.upstreams.values.filter {
             it.entry.group == request.group && request.mayUse(it.entry) && !it.isPaused(now) &&
-                it.hasResumed(now, settings.times.resumptionMillis)
+                pacing.allows(tables, it, now)
         }
         val staying = usable.filter { !it.isLeaving }
         val sound = staying.filterNot { it.isEjected(now) }.ifEmpty { staying }
         val isBegun = request.streamVersion != null
-        return sound.ifEmpty { usable.filter { isBegun && it.canEndStreams(now, settings.times.leavingUseMillis) } }
+        val candidates =
+            sound.ifEmpty { usable.filter { isBegun && it.canEndStreams(now, settings.times.leavingUseMillis) } }
+        return pacing.preferred(tables, candidates, now)
     }
 
-    /** The time until the first upstream's pause ends, if all that stay are in a pause. */
+    /** The time until the first upstream takes a request, if all that stay are in a pause or cold. */
     private fun retryAfterMillis(tables: ForwardingTables, request: RequestRow, now: Timestamp): Long {
         val staying = tables.upstreams.values.filter { it.entry.group == request.group && !it.isLeaving }
-        val pauses = staying.map { row -> row.availability.pausedUntil?.let { it - now } ?: 0 }
-        return maxOf(settings.times.retryAfterMillis, pauses.minOrNull() ?: 0)
+        val waits = staying.map { row ->
+            val pauseMillis = row.availability.pausedUntil?.let { it - now } ?: 0
+            maxOf(pauseMillis, pacing.waitMillis(tables, row, now))
+        }
+        return maxOf(settings.times.retryAfterMillis, waits.minOrNull() ?: 0)
     }
 
     private fun sendAttempt(
@@ -88,11 +95,12 @@
             attempts = attempt,
             triedUpstreams = request.triedUpstreams.add(row.entry.id),
         )
+        val sentRow = pacing.withSend(row.withRequest(request, uncached, now), now)
         val next = tables.copy(
             random = tables.random.advance(),
             requests = tables.requests.put(request.number, sentRequest),
             waiting = tables.waiting.remove(request.number),
-            upstreams = tables.upstreams.put(row.entry.id, row.withRequest(request, uncached, now)),
+            upstreams = tables.upstreams.put(row.entry.id, sentRow),
             retries = if (silence == null) tables.retries else tables.retries.withRetryCounted(request.group, now),
         ).withLoadNoticeDue(uncached, now, settings)
         val decision = logDecision(
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SilentAttemptSystem.kt
@@ -69,7 +69,7 @@
         if (phase.wasSilent) return ForwardingStep(tables)
         val isStarted = request.isAnswerStarted
         val result = AnswerLost(SILENT_CAUSE, request.deliveredEvents, isStarted, isResumable = false)
-        return tables.recordResult(phase, result, now, settings.times)
+        return tables.recordResult(phase, result, now, settings)
     }
 
     private fun handleResumption(tables: ForwardingTables, message: AttemptResumed, now: Timestamp): ForwardingStep {
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/UpstreamHealth.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/UpstreamHealth.kt
@@ -5,6 +5,7 @@
 package org.ibismoor.forwarding.internal
 
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.core.api.then
 import org.ibismoor.forwarding.api.AnswerLost
 import org.ibismoor.forwarding.api.AnsweredFailure
 import org.ibismoor.forwarding.api.AttemptResult
@@ -12,6 +13,7 @@
 import org.ibismoor.forwarding.api.DecisionKind
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.FailureRow
+import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
 import org.ibismoor.forwarding.api.ForwardingTimes
 import org.ibismoor.forwarding.api.NotExecuted
@@ -54,7 +56,7 @@
     phase: AwaitingAnswer,
     result: AttemptResult,
     now: Timestamp,
-    times: ForwardingTimes,
+    settings: ForwardingSettings,
 ): ForwardingStep {
     val load = when (result) {
         is Delivered -> result.load
@@ -64,7 +66,7 @@
     }
     val tablesWithLoad = withReportedLoad(phase, load, now)
     val row = tablesWithLoad.upstreams[phase.upstream] ?: return ForwardingStep(tablesWithLoad)
-    val failures = failuresAfterResult(row.failures, phase, result, now, times)
+    val failures = failuresAfterResult(row.failures, phase, result, now, settings.times)
     val upstreams = tablesWithLoad.upstreams.put(phase.upstream, row.copy(failures = failures))
     val next = tablesWithLoad.copy(upstreams = upstreams)
     val isEjection = failures.ejectedUntil > row.failures.ejectedUntil
@@ -77,6 +79,7 @@
         "result" to resultText(result),
     )
     return ForwardingStep(next, listOf(decision).filter { isEjection })
+        .then { it.withPaceOf(phase, result, isEjection, settings, now) }
 }
 
 private fun failuresAfterResult(
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -34,6 +34,7 @@
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTimes
 import org.ibismoor.forwarding.api.GroupSettings
+import org.ibismoor.forwarding.api.LoadPolicies
 import org.ibismoor.forwarding.api.OrganisationRow
 import org.ibismoor.forwarding.api.PromptPart
 import org.ibismoor.forwarding.api.PromptShape
@@ -49,6 +50,7 @@
 import org.ibismoor.forwarding.api.WorkKind
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.pacing.api.PaceSettings
 
 internal val COUNCIL = OrganisationId("council")
 internal val OWN_ENTRY = RouterEntry("10.0.0.9:80", FailureDomainId("north"))
@@ -63,6 +65,8 @@
     session: SessionId = SessionId("a"),
     times: ForwardingTimes = ForwardingTimes(),
     seed: Long = 1,
+    policies: LoadPolicies = LoadPolicies(),
+    pacing: PaceSettings = PaceSettings(),
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -72,6 +76,8 @@
         retrySlack = 600,
         retryWindowMillis = 10_000,
         times = times,
+        policies = policies,
+        pacing = pacing,
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/api/HttpDialect.kt
@@ -51,4 +51,6 @@
     /** The upstream announces that it is leaving. */
     val isLeaving: Boolean,
     val load: ReportedLoad?,
+    /** Time for which the upstream is still cold; null if the answer does not say so. */
+    val coldMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/Attempt.kt
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import org.ibismoor.forwarding.api.AttemptResult
 import org.ibismoor.forwarding.api.AvailabilityAnnounced
+import org.ibismoor.forwarding.api.ColdAnnounced
 import org.ibismoor.forwarding.api.Delivered
 import org.ibismoor.forwarding.api.NotExecuted
 import org.ibismoor.forwarding.api.NotSent
@@ -160,6 +161,7 @@
         if (fields.isLeaving || pauseMillis != null) {
             environment.post(AvailabilityAnnounced(effect.upstream.id, fields.isLeaving, pauseMillis))
         }
+        fields.coldMillis?.let { environment.post(ColdAnnounced(effect.upstream.id, it)) }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -32,6 +32,9 @@
         registry.registerGauge("ibismoor_upstreams_paused") {
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
+        registry.registerGauge("ibismoor_upstreams_paced") {
+            tables().upstreams.values.count { it.pace?.ramp != null }
+        }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
