Merge the pace of cold, started and recovered upstreams

Cause: an upstream that has started or recovered was flooded or left idle, and a cold one crashes above its rate. Upstreams whose domain returns from an evacuation count as cold for the start time of their group.

--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -9,6 +9,7 @@
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RouterId
+import org.ibismoor.pacing.api.PaceSettings
 
 data class ForwardingSettings(
     val router: RouterId,
@@ -25,4 +26,5 @@
     val resources: RouterResources = RouterResources(entry.cores),
     /** Region of each failure domain; empty if the settings state none. */
     val regions: PersistentMap<FailureDomainId, RegionId> = persistentHashMapOf(),
+    val pacing: PaceSettings = PaceSettings(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/FleetSystem.kt
@@ -84,7 +84,7 @@
     private fun applyAnswer(tables: ForwardingTables, message: ReportAnswered, now: Timestamp): ForwardingStep {
         val answer = message.answer
         val next = withReplicas(tables, answer)
-        return applyEvacuations(next, answer).then {
+        return applyEvacuations(next, answer, settings, now).then {
             when {
                 answer.isLeading -> applyLeaderAnswer(it, message, now)
                 else -> ForwardingStep(withLeaderFirst(it, answer, now))
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -21,6 +21,7 @@
             PlacementSystem(settings),
             ContactSystem(settings),
             ConfigurationSystem(settings),
+            PaceSystem(settings),
             ArrivalSystem(settings),
             StreamOriginSystem(settings),
             LoanSystem(settings),
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -51,6 +51,7 @@
 import org.ibismoor.forwarding.api.WorkKind
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.pacing.api.PaceSettings
 
 internal val COUNCIL = OrganisationId("council")
 internal val OWN_ENTRY = RouterEntry("10.0.0.9:80", FailureDomainId("north"))
@@ -67,6 +68,7 @@
     seed: Long = 1,
     regions: Map<FailureDomainId, RegionId> = emptyMap(),
     policies: LoadPolicies = LoadPolicies(),
+    pacing: PaceSettings = PaceSettings(),
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -78,6 +80,7 @@
         times = times,
         regions = regions.toPersistentHashMap(),
         policies = policies,
+        pacing = pacing,
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
