--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -61,6 +61,7 @@
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
+@Suppress("LongParameterList") // optional settings of a router, each of which few tests change
 internal class RouterHarness(
     private val budget: Long? = null,
     session: SessionId = SessionId("a"),
--- a/pacing/src/test/kotlin/org/ibismoor/pacing/ColdBoundTest.kt
+++ b/pacing/src/test/kotlin/org/ibismoor/pacing/ColdBoundTest.kt
@@ -20,7 +20,6 @@
 /** The most requests that one of [upstreams] got in one second of the cold time after [start]. */
 private fun ColdFleet.mostAt(upstreams: List<Int>, start: Long): Int =
     upstreams.maxOf { mostInOneSecond(it, start, start + COLD_START_MILLIS) }
-        .also { println("cold bound: at most $it requests in one second, $refused refused") }
 
 class ColdBoundTest : StringSpec({
     "the parts of the senders use half of the bound" {
--- a/pacing/src/test/kotlin/org/ibismoor/pacing/RampTest.kt
+++ b/pacing/src/test/kotlin/org/ibismoor/pacing/RampTest.kt
@@ -29,7 +29,6 @@
 
     fun simulate(isPaced: Boolean = true): RampResult =
         RampSimulation(routers, slots, { workMillis }, requestsPerSecond, isPaced).run(RUN_MILLIS)
-            .also { println("ramp paced=$isPaced $this $it") }
 }
 
 private fun loads(factor: Double): List<Load> =
