--- a/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
+++ b/coordination/src/main/kotlin/org/ibismoor/coordination/api/CoordinationTables.kt
@@ -75,6 +75,8 @@
 
 data class PendingPublication(override val reply: Long) : PendingExchange
 
+data class PendingEvacuation(override val reply: Long) : PendingExchange
+
 /** A read that waits for the quorum to confirm leadership, and then until the entries up to [index] are applied. */
 data class PendingRead(val reply: Long, val index: Long? = null)
 
@@ -88,6 +90,7 @@
     val session: SessionId,
     /** Last reported usage of each organisation. */
     val usage: Map<OrganisationId, AllowanceUsage>,
+    val isPlacementAutomatic: Boolean = false,
 )
 
 /** The leader that an answer to a join request last named at [leaderNamedAt], and the time of the next request. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingMessage.kt
@@ -25,6 +25,9 @@
 data class AvailabilityAnnounced(val upstream: UpstreamId, val isLeaving: Boolean, val pauseMillis: Long?) :
     ForwardingMessage
 
+/** An answer of [upstream] said that it is cold for [remainingMillis] from its arrival. */
+data class ColdAnnounced(val upstream: UpstreamId, val remainingMillis: Long) : ForwardingMessage
+
 /** Attempt number [attempt] has ended. */
 data class AttemptEnded(val number: RequestNumber, val attempt: Int, val result: AttemptResult) : ForwardingMessage
 
@@ -73,5 +76,8 @@
 /** Another router knows the [origins] of streams that this router has asked for. */
 data class OriginsAnswered(val origins: Map<StreamDigest, StreamOrigin>) : ForwardingMessage
 
+/** The process has measured its [use] of the resources of its VM. */
+data class ResourcesMeasured(val use: ResourceUse) : ForwardingMessage
+
 /** Reloaded settings list the [hosts] of control processes. */
 data class ControlHostsChanged(val hosts: List<String>) : ForwardingMessage
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingSettings.kt
@@ -3,8 +3,13 @@
  */
 package org.ibismoor.forwarding.api
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import org.ibismoor.coordination.api.RouterEntry
+import org.ibismoor.core.api.FailureDomainId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RouterId
+import org.ibismoor.pacing.api.PaceSettings
 
 data class ForwardingSettings(
     val router: RouterId,
@@ -18,4 +23,8 @@
     val retryWindowMillis: Long,
     val times: ForwardingTimes = ForwardingTimes(),
     val policies: LoadPolicies = LoadPolicies(),
+    val resources: RouterResources = RouterResources(entry.cores),
+    /** Region of each failure domain; empty if the settings state none. */
+    val regions: PersistentMap<FailureDomainId, RegionId> = persistentHashMapOf(),
+    val pacing: PaceSettings = PaceSettings(),
 )
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/ForwardingTables.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.ibismoor.admission.api.AdmissionTables
 import org.ibismoor.coordination.api.RouterState
 import org.ibismoor.core.api.DueQueue
 import org.ibismoor.core.api.OrganisationId
@@ -31,16 +32,22 @@
     val due: DueQueue<RequestNumber> = DueQueue.empty(),
     /** Requests that wait for an upstream or for tokens. */
     val waiting: PersistentMap<RequestNumber, Unit> = persistentHashMapOf(),
+    /** Requests that wait for room at an upstream; they are not in [waiting]. */
+    val admission: AdmissionTables<RequestNumber> = AdmissionTables(),
+    /** When queued requests are looked at again; null if there are none. */
+    val roomCheckDueAt: Timestamp? = null,
     val prompts: PromptTables = PromptTables(),
     val crashedRequests: CrashedRequestTables = CrashedRequestTables(),
     val streams: StreamOriginTables = StreamOriginTables(),
+    val placement: PlacementTables = PlacementTables(),
 ) {
     val isDraining: Boolean get() = drainStartedAt != null
 
     val state: RouterState
         get() = when {
             isDraining -> RouterState.DRAINING
-            configuration == null || fleet.upstreamRevision == 0L -> RouterState.STARTING
+            // The leader's first answer has both a list of upstreams and the list of evacuated failure domains.
+            configuration == null || fleet.upstreamRevision == 0L || fleet.evacuations == null -> RouterState.STARTING
             else -> RouterState.READY
         }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RequestRow.kt
@@ -4,8 +4,11 @@
 package org.ibismoor.forwarding.api
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.SoftwareVersion
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.UpstreamGroupId
@@ -17,6 +20,8 @@
     val route: RouteRow,
     val group: UpstreamGroupId,
     val organisation: OrganisationId?,
+    /** Allowed regions of the organisation, as of the configuration that admitted the request. */
+    val organisationRegions: PersistentSet<RegionId> = persistentHashSetOf(),
     val priority: Int,
     val arrivedAt: Timestamp,
     /** Deadline after which the request is refused. */
@@ -59,6 +64,9 @@
 /** Waits to be sent to an upstream. */
 data object AwaitingUpstream : RequestPhase
 
+/** Waits since [since] for room at an upstream; the request is refused at [until], when too little time is left. */
+data class AwaitingRoom(val since: Timestamp, val until: Timestamp) : RequestPhase
+
 /** Waits for the answer of [upstream] to attempt number [attempt]. */
 data class AwaitingAnswer(
     val upstream: UpstreamId,
@@ -70,6 +78,8 @@
     val version: SoftwareVersion,
     /** The upstream has been silent for too long during this attempt. */
     val wasSilent: Boolean = false,
+    /** Size of the request that was sent. */
+    val bodyBytes: Long = 0,
 ) : RequestPhase
 
 /** An attempt that goes on although its upstream is silent; [silence] is the number of that silence. */
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/UpstreamRow.kt
@@ -7,22 +7,29 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.ibismoor.coordination.api.UpstreamEntry
 import org.ibismoor.core.api.Timestamp
+import org.ibismoor.pacing.api.PaceRow
 
 data class UpstreamRow(
     val entry: UpstreamEntry,
     /** Requests that this router has in flight at the upstream. */
     val inFlight: Int = 0,
+    /** Size of the bodies of those requests. */
+    val inFlightBytes: Long = 0,
     /** Uncached prompt tokens of this router's requests without a first event. */
     val pendingPromptTokens: Long = 0,
     val load: UpstreamLoad? = null,
     /** Requests that this router has sent since [load] was reported. */
     val sentSinceLoad: Int = 0,
+    /** Null if nothing was measured, or if the upstream does not report the present duration of its work. */
+    val eventGap: EventGapRow? = null,
     val failures: FailureRow = FailureRow(),
     val availability: AvailabilityRow = AvailabilityRow(),
     /** When this router last sent each prompt part to the upstream, by the identifier of the part. */
     val sentParts: PersistentMap<String, Timestamp> = persistentHashMapOf(),
     /** Load that other routers have put on the upstream, by the address of the router. */
     val peerLoads: PersistentMap<String, PeerLoad> = persistentHashMapOf(),
+    /** Null until the list with the upstream has been applied. */
+    val pace: PaceRow? = null,
 ) {
     /** True if the list or the upstream itself says so. */
     val isLeaving: Boolean get() = entry.isLeaving || availability.leavingSince != null
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/ForwardingMachine.kt
@@ -18,8 +18,10 @@
     private val schedule = SystemSchedule(
         listOf(
             FleetSystem(settings),
+            PlacementSystem(settings),
             ContactSystem(settings),
             ConfigurationSystem(settings),
+            PaceSystem(settings),
             ArrivalSystem(settings),
             StreamOriginSystem(settings),
             LoanSystem(settings),
@@ -27,6 +29,7 @@
             RequestCrashSystem(),
             AvailabilitySystem(settings),
             SilentAttemptSystem(settings),
+            WorkTimeSystem(),
             AttemptSystem(settings),
             AllowanceSystem(settings),
             RequestQuarantineSystem(settings),
@@ -49,6 +52,7 @@
             tables.fleet.loadNoticeDueAt,
             tables.nextFetchAt(),
             tables.nextResumptionAt,
+            tables.roomCheckDueAt,
         ).minOrNull()
     }
 }
--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/SelectionSystem.kt
@@ -1,5 +1,5 @@
 /**
- * Sends waiting requests to upstreams in the order of priority and arrival.
+ * Sends waiting requests to upstreams in the order of priority and arrival, or through the queue of their group.
  */
 package org.ibismoor.forwarding.internal
 
@@ -8,10 +8,12 @@
 import org.ibismoor.core.api.Tick
 import org.ibismoor.core.api.Timestamp
 import org.ibismoor.core.api.foldSteps
+import org.ibismoor.core.api.then
 import org.ibismoor.forwarding.api.AttemptTerms
 import org.ibismoor.forwarding.api.AwaitingAnswer
 import org.ibismoor.forwarding.api.AwaitingUpstream
 import org.ibismoor.forwarding.api.DecisionKind
+import org.ibismoor.forwarding.api.DrainStarted
 import org.ibismoor.forwarding.api.ForwardingMessage
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTables
@@ -29,21 +31,40 @@
 internal class SelectionSystem(
     private val settings: ForwardingSettings,
     private val selection: UpstreamSelection,
-) : ForwardingSystem {
+) : ForwardingSystem, RequestDispatch {
+    private val queueing = QueuedDispatch(settings, this)
+    private val pacing = UpstreamPacing(settings)
+
     override fun run(tables: ForwardingTables, tick: Tick<ForwardingMessage>): ForwardingStep {
-        if (tables.waiting.isEmpty()) return ForwardingStep(tables)
+        val isIdle = tables.waiting.isEmpty() && tables.admission.queued.isEmpty()
+        if (isIdle && tables.roomCheckDueAt == null) return ForwardingStep(tables)
         val dispatchableRequests = tables.waiting.keys
             .mapNotNull(tables.requests::get)
             .filter { it.phase is AwaitingUpstream }
         val ordered = dispatchableRequests.sortedWith(compareBy({ it.priority }, { it.number }))
-        return foldSteps(tables, ordered) { table, request -> dispatchRequest(table, request, tick.now) }
+        val isDrainStarting = tick.messages.any { it is DrainStarted }
+        val returns = tables.admission.returns.withoutDue(tick.now)
+        val current = tables.copy(admission = tables.admission.copy(returns = returns))
+        return ForwardingStep(current)
+            .then { if (isDrainStarting) queueing.startDrain(it, tick.now) else ForwardingStep(it) }
+            .then { foldSteps(it, ordered) { table, request -> dispatchRequest(table, request, tick.now) } }
+            .then { queueing.sendQueued(it, tick.now) }
     }
 
     private fun dispatchRequest(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
+        if (tables.isQueueing(request.group, settings)) return queueing.dispatchRequest(tables, request, now)
         val candidates = candidates(tables, request, now)
         return when {
             candidates.isNotEmpty() -> sendAttempt(tables, request, candidates, now)
-            tables.isVersionGone(request) -> refuseVersionGone(tables, request, settings, now)
+            else -> refuseUnserved(tables, request, now)
+        }
+    }
+
+    override fun refuseUnserved(tables: ForwardingTables, request: RequestRow, now: Timestamp): ForwardingStep {
+        val placeRefusal = tables.placeRefusal(request, settings)
+        return when {
+            placeRefusal != null -> refusePlace(tables, request, placeRefusal, settings, now)
+            tables.isVersionGone(request, settings) -> refuseVersionGone(tables, request, settings, now)
             else -> {
                 val retryAfterMillis = retryAfterMillis(tables, request, now)
                 refuseRequest(tables, request, RefusalReason.NO_UPSTREAM, retryAfterMillis, now)
@@ -55,25 +76,32 @@
      * Ejected upstreams are used only if there are no others; those in a pause never, and for a stream that has begun
      * none of another version, which would write a different text. Leaving ones only end streams of their version.
      */
-    private fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
+    override fun candidates(tables: ForwardingTables, request: RequestRow, now: Timestamp): List<UpstreamRow> {
+        val places = tables.placesFor(request, settings)
         val usable = tables.upstreams.values.filter {
             it.entry.group == request.group && request.mayUse(it.entry) && !it.isPaused(now) &&
-                it.hasResumed(now, settings.times.resumptionMillis)
+                places.allows(it.entry.domain) && pacing.allows(tables, it, now) &&
+                it.hasMemoryFor(request, tables, settings.policies.maximumUpstreamBytes)
         }
         val staying = usable.filter { !it.isLeaving }
         val sound = staying.filterNot { it.isEjected(now) }.ifEmpty { staying }
         val isBegun = request.streamVersion != null
-        return sound.ifEmpty { usable.filter { isBegun && it.canEndStreams(now, settings.times.leavingUseMillis) } }
+        val candidates =
+            sound.ifEmpty { usable.filter { isBegun && it.canEndStreams(now, settings.times.leavingUseMillis) } }
+        return pacing.preferred(tables, candidates, now)
     }
 
-    /** The time until the first upstream's pause ends, if all that stay are in a pause. */
+    /** The time until the first upstream takes a request, if all that stay are in a pause or cold. */
     private fun retryAfterMillis(tables: ForwardingTables, request: RequestRow, now: Timestamp): Long {
         val staying = tables.upstreams.values.filter { it.entry.group == request.group && !it.isLeaving }
-        val pauses = staying.map { row -> row.availability.pausedUntil?.let { it - now } ?: 0 }
-        return maxOf(settings.times.retryAfterMillis, pauses.minOrNull() ?: 0)
+        val waits = staying.map { row ->
+            val pauseMillis = row.availability.pausedUntil?.let { it - now } ?: 0
+            maxOf(pauseMillis, pacing.waitMillis(tables, row, now))
+        }
+        return maxOf(settings.times.retryAfterMillis, waits.minOrNull() ?: 0)
     }
 
-    private fun sendAttempt(
+    override fun sendAttempt(
         tables: ForwardingTables,
         request: RequestRow,
         candidates: List<UpstreamRow>,
@@ -84,15 +112,23 @@
         val attempt = request.attempts + 1
         val silence = request.silent?.silence
         val sentRequest = request.copy(
-            phase = AwaitingAnswer(row.entry.id, attempt, now, uncached, row.entry.version),
+            phase = AwaitingAnswer(
+                row.entry.id,
+                attempt,
+                now,
+                uncached,
+                row.entry.version,
+                bodyBytes = request.head.bodyBytes,
+            ),
             attempts = attempt,
             triedUpstreams = request.triedUpstreams.add(row.entry.id),
         )
+        val sentRow = pacing.withSend(row.withRequest(request, uncached, now), now)
         val next = tables.copy(
             random = tables.random.advance(),
             requests = tables.requests.put(request.number, sentRequest),
             waiting = tables.waiting.remove(request.number),
-            upstreams = tables.upstreams.put(row.entry.id, row.withRequest(request, uncached, now)),
+            upstreams = tables.upstreams.put(row.entry.id, sentRow),
             retries = if (silence == null) tables.retries else tables.retries.withRetryCounted(request.group, now),
         ).withLoadNoticeDue(uncached, now, settings)
         val decision = logDecision(
@@ -125,6 +161,7 @@
         val keptParts = if (sentParts.size > MAXIMUM_SENT_PARTS) sentParts.clear() else sentParts
         return copy(
             inFlight = inFlight + 1,
+            inFlightBytes = inFlightBytes + request.head.bodyBytes,
             sentSinceLoad = sentSinceLoad + 1,
             pendingPromptTokens = pendingPromptTokens + uncached,
             sentParts = request.head.prompt?.parts.orEmpty().fold(keptParts) { table, part -> table.put(part.id, now) },
@@ -149,14 +186,17 @@
     }
 }
 
-private fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
+internal fun RequestRow.mayUse(entry: UpstreamEntry): Boolean =
     entry.id !in triedUpstreams && (streamVersion == null || entry.version == streamVersion)
 
-/** True if the list has no upstream that could ever go on with the stream of [request]. */
-private fun ForwardingTables.isVersionGone(request: RequestRow): Boolean =
-    request.streamVersion != null && upstreams.values.none {
-        it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving
+/** True if the list has no upstream in an allowed place that could go on with the stream of [request]. */
+private fun ForwardingTables.isVersionGone(request: RequestRow, settings: ForwardingSettings): Boolean {
+    val places = placesFor(request, settings)
+    return request.streamVersion != null && upstreams.values.none {
+        it.entry.group == request.group && it.entry.version == request.streamVersion && !it.isLeaving &&
+            places.allows(it.entry.domain)
     }
+}
 
 /** True if the upstream has been leaving for less than [limitMillis], so that it serves for a while. */
 private fun UpstreamRow.canEndStreams(now: Timestamp, limitMillis: Long): Boolean {
--- a/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
+++ b/forwarding/src/test/kotlin/org/ibismoor/forwarding/RouterHarness.kt
@@ -14,6 +14,7 @@
 import org.ibismoor.core.api.ApiKeyDigest
 import org.ibismoor.core.api.FailureDomainId
 import org.ibismoor.core.api.OrganisationId
+import org.ibismoor.core.api.RegionId
 import org.ibismoor.core.api.RequestDigest
 import org.ibismoor.core.api.RouteId
 import org.ibismoor.core.api.RouterId
@@ -34,6 +35,7 @@
 import org.ibismoor.forwarding.api.ForwardingSettings
 import org.ibismoor.forwarding.api.ForwardingTimes
 import org.ibismoor.forwarding.api.GroupSettings
+import org.ibismoor.forwarding.api.LoadPolicies
 import org.ibismoor.forwarding.api.OrganisationRow
 import org.ibismoor.forwarding.api.PromptPart
 import org.ibismoor.forwarding.api.PromptShape
@@ -49,6 +51,7 @@
 import org.ibismoor.forwarding.api.WorkKind
 import org.ibismoor.forwarding.api.createForwarding
 import org.ibismoor.forwarding.api.initialForwarding
+import org.ibismoor.pacing.api.PaceSettings
 
 internal val COUNCIL = OrganisationId("council")
 internal val OWN_ENTRY = RouterEntry("10.0.0.9:80", FailureDomainId("north"))
@@ -58,11 +61,15 @@
 private val ENGINES = UpstreamGroupId("engines")
 private val DESK = UpstreamGroupId("desk")
 
+@Suppress("LongParameterList") // optional settings of a router, each of which few tests change
 internal class RouterHarness(
     private val budget: Long? = null,
     session: SessionId = SessionId("a"),
     times: ForwardingTimes = ForwardingTimes(),
     seed: Long = 1,
+    regions: Map<FailureDomainId, RegionId> = emptyMap(),
+    policies: LoadPolicies = LoadPolicies(),
+    pacing: PaceSettings = PaceSettings(),
 ) {
     private val settings = ForwardingSettings(
         router = RouterId("router-1"),
@@ -72,6 +79,9 @@
         retrySlack = 600,
         retryWindowMillis = 10_000,
         times = times,
+        regions = regions.toPersistentHashMap(),
+        policies = policies,
+        pacing = pacing,
     )
     private val machine = createForwarding(settings)
     var now = Timestamp(0)
@@ -168,6 +178,16 @@
         return number
     }
 
+    /** Sends a request with a body of [bytes] bytes. */
+    fun sendBody(path: String, bytes: Long): RequestNumber {
+        val number = RequestNumber(nextNumber++)
+        val digest = RequestDigest("digest-${number.value}")
+        val callId = "call-${number.value}"
+        val head = RequestHead(callId, "desk.example", path, KEY, 4_000, null, digest, bodyBytes = bytes)
+        post(RequestArrived(number, head))
+        return number
+    }
+
     fun endAttempt(number: RequestNumber, result: AttemptResult) {
         val attempt = sentAttempts.last { it.number == number }.attempt
         post(AttemptEnded(number, attempt, result))
--- a/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
+++ b/gateway/src/main/kotlin/org/ibismoor/gateway/internal/router/RouterMeters.kt
@@ -27,6 +27,7 @@
 
     init {
         registry.registerGauge("ibismoor_requests") { tables().requests.size }
+        registry.registerGauge("ibismoor_queued_requests") { tables().admission.queued.size }
         registry.registerGauge("ibismoor_configuration_version") { tables().configuration?.version ?: 0 }
         registry.registerGauge("ibismoor_allowance_held_tokens") { tables().allowances.values.sumOf { it.held } }
         registry.registerGauge("ibismoor_log_lines_dropped", droppedLines)
@@ -35,7 +36,12 @@
         registry.registerGauge("ibismoor_upstreams_paused") {
             tables().upstreams.values.count { it.availability.pausedUntil != null }
         }
+        registry.registerGauge("ibismoor_evacuated_domains") { tables().fleet.evacuations?.domains.orEmpty().size }
+        registry.registerGauge("ibismoor_upstreams_paced") {
+            tables().upstreams.values.count { it.pace?.ramp != null }
+        }
         registry.registerGauge("ibismoor_quarantined_parts") { tables().prompts.quarantines.size }
+        registry.registerGauge("ibismoor_room_requests_per_second") { tables().placement.room ?: 0 }
         registry.registerGauge("ibismoor_quarantined_requests") { tables().crashedRequests.quarantines.size }
     }
 
@@ -58,6 +64,8 @@
 
     fun countLostNotice() = Counter.builder("ibismoor_use_notices_lost").register(registry).increment()
 
+    fun countMovedCaller() = Counter.builder("ibismoor_moved_callers").register(registry).increment()
+
     fun recordDuration(nanos: Long) = durations.record(Duration.ofNanos(nanos))
 
     fun recordFirstEvent(nanos: Long) = firstEvents.record(Duration.ofNanos(nanos))
--- a/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
+++ b/transport/src/main/kotlin/org/ibismoor/transport/internal/FlushingServer.kt
@@ -8,7 +8,6 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.handlers.GracefulShutdownHandler
 import org.http4k.server.Http4kServer
-import org.ibismoor.runtime.api.MemoryBudget
 import org.ibismoor.transport.api.CallerHandler
 import org.ibismoor.transport.api.ConnectionCutListener
 import org.ibismoor.transport.api.ServerSettings
@@ -24,7 +23,6 @@
 internal class FlushingServer(
     private val settings: ServerSettings,
     cuts: ConnectionCutListener,
-    memory: MemoryBudget,
     handler: CallerHandler,
 ) : Http4kServer {
     private val workers =
@@ -35,7 +33,7 @@
             TimeUnit.SECONDS,
             SynchronousQueue(),
         )
-    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, cuts, memory, handler))
+    private val shutdown = GracefulShutdownHandler(BodyReader(settings.limits, workers, cuts, handler))
     private val undertow = build()
 
     override fun start(): Http4kServer = apply { undertow.start() }
