--- a/soak/src/test/kotlin/org/ibismoor/soak/crowd/CrowdFleet.kt
+++ b/soak/src/test/kotlin/org/ibismoor/soak/crowd/CrowdFleet.kt
@@ -156,7 +156,7 @@
     )
 
     private fun answerAttempt(call: HttpExchange) {
-        val received = DefaultHttpHeaders(false)
+        val received = DefaultHttpHeaders()
         call.requestHeaders.forEach { (name, values) -> received.add(name, values) }
         call.requestBody.use { body -> body.transferTo(OutputStream.nullOutputStream()) }
         val callId = fields.readAttempt(received)?.callId.orEmpty()
