Mark early answers of scripted upstreams by a class

Cause: a property with a default in the functional interface RawAnswer gave classes that the JVM rejects ("Illegal method name <get-isEarly>"): all five cases of StreamEndTest ended with an error.

Change: EarlyAnswer is a class of its own, and RawAnswer is as before.

--- a/gateway/src/test/kotlin/org/ibismoor/gateway/MalformedAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/MalformedAnswerTest.kt
@@ -40,10 +40,6 @@
 
 private val longBodies = PlatformFormats(TestDialect, LongBodies, TestLists)
 
-private class EarlyAnswer(private val answer: RawAnswer) : RawAnswer by answer {
-    override val isEarly: Boolean get() = true
-}
-
 /** Writes [parts] while the request is still being written to it, and [end]s the connection. */
 private fun early(vararg parts: String, end: (Socket) -> Unit) = EarlyAnswer { _, output, socket ->
     parts.forEach { output.writeNow(it) }
--- a/gateway/src/test/kotlin/org/ibismoor/gateway/RawUpstream.kt
+++ b/gateway/src/test/kotlin/org/ibismoor/gateway/RawUpstream.kt
@@ -29,12 +29,12 @@
 
 /** Writes the answer to a request. Closing the socket ends the connection. */
 internal fun interface RawAnswer {
-    /** True if the answer begins before the body of the request is read. */
-    val isEarly: Boolean get() = false
-
     fun write(request: RawRequest, output: OutputStream, socket: Socket)
 }
 
+/** An answer that begins before the body of the request is read. */
+internal class EarlyAnswer(private val answer: RawAnswer) : RawAnswer by answer
+
 internal class RawUpstream(private val answer: RawAnswer) : AutoCloseable {
     private val server = ServerSocket()
     private val connections = AtomicInteger()
@@ -43,7 +43,7 @@
     val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
-        if (answer.isEarly) server.receiveBufferSize = EARLY_RECEIVE_BUFFER_BYTES
+        if (answer is EarlyAnswer) server.receiveBufferSize = EARLY_RECEIVE_BUFFER_BYTES
         server.bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), BACKLOG)
         thread(isDaemon = true) { accept() }
     }
@@ -86,7 +86,7 @@
             head.append(byte.toChar())
         }
         val length = head.lineSequence().firstOrNull { it.startsWith("content-length:", ignoreCase = true) }
-            ?.substringAfter(':')?.trim()?.toInt()?.takeUnless { answer.isEarly } ?: 0
+            ?.substringAfter(':')?.trim()?.toInt()?.takeUnless { answer is EarlyAnswer } ?: 0
         return RawRequest(head.toString(), String(input.readNBytes(length), Charsets.ISO_8859_1), number)
     }
 
