--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RouterResources.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/api/RouterResources.kt
@@ -4,10 +4,7 @@
  */
 package org.ibismoor.forwarding.api
 
-/**
- * Requests per second that a core carries. A router of 0.36 cores used a sixteenth of its processor with 7.4 requests
- * a second.
- */
+/** Requests per second that a core carries with a reserve for streams, which use the processor after their start. */
 private const val REQUESTS_PER_CORE = 300.0
 
 /** Bytes that a request and its answer put on the link. */
