--- a/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/LoanSystem.kt
+++ b/forwarding/src/main/kotlin/org/ibismoor/forwarding/internal/LoanSystem.kt
@@ -32,8 +32,8 @@
 private const val LOAN_ROUND_MILLIS = 10L
 
 /**
- * Time without an answer of the leader after which a request borrows before the leader counts as lost. The leader
- * usually answers within 35 ms, and it counts as lost after 800 ms, more than a request waits for it.
+ * Time without an answer of the leader after which a request borrows before the leader counts as lost: several round
+ * trips and a sync, and early enough for a request that would be refused before the leader counts as lost.
  */
 private const val LEADER_ANSWER_MILLIS = 100L
 
