Show that waiting for a large answer costs callers their connection

An answer that is buffered while its upstream writes it counts as held without progress, and is evicted when another answer needs memory.

--- a/review/second/Fleet.java
+++ b/review/second/Fleet.java
@@ -18,7 +18,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** Machines on loopback addresses, each with a router and a control process, started with the deploy file's commands. */
+/** Machines on loopback addresses, each with a router and a control process, started with the deploy file's command. */
 final class Fleet implements AutoCloseable {
     static final int CALLERS = 8227;
     static final int READINESS = 8220;
--- a/review/second/Main.java
+++ b/review/second/Main.java
@@ -15,6 +15,7 @@
             boolean isBroken = switch (arguments[0]) {
                 case "unsent-end" -> SlowReaders.isBroken(record, hasTrouble, SlowReaders.Judged.LONG);
                 case "paused-connection" -> SlowReaders.isBroken(record, hasTrouble, SlowReaders.Judged.SHORT);
+                case "large-answers" -> LargeAnswers.isBroken(record, hasTrouble);
                 default -> throw new IllegalArgumentException(arguments[0]);
             };
             code = isBroken ? 1 : 0;
--- a/review/second/Site.java
+++ b/review/second/Site.java
@@ -19,7 +19,8 @@
 
     static String configuration(long version) {
         return "{\"version\":" + version + ",\"routes\":["
-            + route("long", "/long/") + "," + route("chat", "/chat/") + "],"
+            + route("long", "/long/") + "," + route("chat", "/chat/")
+            + "," + route("book", "/book/").replace("streaming", "unsafe") + "],"
             + "\"services\":[{\"name\":\"pool\",\"healthPath\":\"/health\",\"maxConnections\":750,\"protocol\":\"h1\","
             + "\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacityTokens\":429602,\"kvTokenBytes\":35136,"
             + "\"linkMbps\":550000.0,\"moves\":true,\"backups\":true,\"stride\":5,\"most\":12,\"pinMs\":4000.0,"
--- a/review/second/SlowReaders.java
+++ b/review/second/SlowReaders.java
@@ -106,8 +106,9 @@
 
     private static Worker.Work workOf(String path) {
         return path.startsWith("/long/")
-            ? new Worker.Work(Integer.parseInt(path.substring("/long/".length())), EVENT_BYTES, EVENTS_TOGETHER, 9_000)
-            : new Worker.Work(5, 60, 1, 100_000);
+            ? Worker.Work.stream(
+                Integer.parseInt(path.substring("/long/".length())), EVENT_BYTES, EVENTS_TOGETHER, 9_000)
+            : Worker.Work.stream(5, 60, 1, 100_000);
     }
 
     /** What the operating system takes for a client that reads as slowly, before a writer has to wait. */
@@ -131,7 +132,7 @@
         }
     }
 
-    private static void awaitService(Record record, Fleet fleet) throws InterruptedException {
+    static void awaitService(Record record, Fleet fleet) throws InterruptedException {
         for (int machine = 1; machine <= MACHINES; machine++) {
             int tries = 0;
             while (Caller.send(record, fleet.host(machine), "first-" + machine + "-" + tries, "/chat/a", 3_000,
--- a/review/second/Worker.java
+++ b/review/second/Worker.java
@@ -18,13 +18,23 @@
      * How a request is worked on: events, their size in bytes, the events that are written together, and the pause
      * after these, in microseconds.
      */
-    record Work(int events, int eventBytes, int together, long pauseMicros) {
+    record Work(int events, int eventBytes, int together, long pauseMicros, long plainMillis) {
+        static Work stream(int events, int eventBytes, int together, long pauseMicros) {
+            return new Work(events, eventBytes, together, pauseMicros, -1);
+        }
+
+        /** One answer with a length, of [bytes], that is written in pieces over [millis]. */
+        static Work plain(int bytes, long millis) {
+            return new Work(0, bytes, 1, 0, millis);
+        }
     }
 
     interface Plan {
         Work of(String path);
     }
 
+    private static final int PIECES = 40;
+
     final String id;
     final Map<String, Long> runs = new ConcurrentHashMap<>();
     final Map<String, Long> ends = new ConcurrentHashMap<>();
@@ -88,6 +98,11 @@
         runs.put(request, record.millis());
         record.write("worker " + id + " runs " + request + " (" + path + ")");
         running.incrementAndGet();
+        Work planned = plan.of(path);
+        if (planned.plainMillis() >= 0) {
+            answerPlainly(request, identity, planned, out);
+            return;
+        }
         try {
             write(out, "HTTP/1.1 200 OK\r\n" + identity + "X-Ibismoor-Response-Stamp: " + id + "." + request + "\r\n"
                 + "X-Ibismoor-Server-Load: " + running.get() + ",0," + slots + "\r\nKeep-Alive: timeout=5\r\n"
@@ -113,6 +128,23 @@
         }
     }
 
+    private void answerPlainly(String request, String identity, Work work, OutputStream out) throws IOException {
+        try {
+            long startedAt = System.nanoTime();
+            write(out, "HTTP/1.1 200 OK\r\n" + identity + "X-Ibismoor-Response-Stamp: " + id + "." + request + "\r\n"
+                + "X-Ibismoor-Server-Load: " + running.get() + ",0," + slots + "\r\nKeep-Alive: timeout=5\r\n"
+                + "Content-Type: application/json\r\nContent-Length: " + work.eventBytes() + "\r\n\r\n");
+            for (int piece = 1; piece <= PIECES; piece++) {
+                sleepUntil(startedAt + work.plainMillis() * 1_000_000 / PIECES * piece);
+                write(out, "x".repeat(work.eventBytes() / PIECES));
+            }
+            ends.put(request, record.millis());
+            record.write("worker " + id + " has written the whole answer to " + request);
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
     private static void sleepUntil(long nanos) {
         long left = nanos - System.nanoTime();
         if (left > 0) {
