--- a/review/second/SlowReaders.java
+++ b/review/second/SlowReaders.java
@@ -44,12 +44,14 @@
 
     /** The requests that a case judges: those of the slow clients, or the short ones. */
     enum Judged {
-        LONG(8_500), SHORT(8_500);
+        LONG(1), SHORT(3);
 
-        final Caller.Pace slowPace;
+        /** The routers that are stopped, one after the other, until the rule is broken. */
+        final int routers;
+        final Caller.Pace slowPace = new Caller.Pace(4 * 1024, 40, 8_500);
 
-        Judged(long slowMillis) {
-            slowPace = new Caller.Pace(4 * 1024, 40, slowMillis);
+        Judged(int routers) {
+            this.routers = routers;
         }
     }
 
@@ -73,35 +75,45 @@
             fleet.waitUntilReady(MACHINES, 20_000);
             awaitService(record, fleet);
 
-            String host = fleet.host(1);
-            long sentAt = record.millis();
-            ExecutorService clients = Executors.newCachedThreadPool();
-            List<Future<Caller.Answer>> futures = new ArrayList<>();
-            for (int client = 0; client < CLIENTS; client++) {
-                int bytes = buffers + LEAST_BYTES_BESIDE_BUFFERS + client * STEP_BYTES;
-                String id = "long-" + client;
-                String path = "/long/" + bytes / (EVENT_BYTES + EVENT_FRAME_BYTES);
-                futures.add(clients.submit(() -> Caller.send(record, host, id, path, DEADLINE_MILLIS, pace)));
+            boolean isBroken = false;
+            for (int machine = 1; machine <= judged.routers && !isBroken; machine++) {
+                isBroken = isBrokenAt(machine, buffers, fleet, record, List.of(first, second), judged, pace);
             }
-            Thread.sleep(SHORT_AFTER_MILLIS);
-            for (int request = 0; request < SHORT_REQUESTS; request++) {
-                String id = "short-" + request;
-                futures.add(clients.submit(
-                    () -> Caller.send(record, host, id, "/chat/a", DEADLINE_MILLIS, Caller.Pace.FAST)));
-            }
-            Thread.sleep(STOP_AFTER_SHORT_MILLIS);
-            fleet.signal("router", 1, "TERM");
-            long stoppedAt = record.millis();
-            fleet.waitForEnd("router", 1, GRACE_MILLIS + SLACK_MILLIS);
-            List<Caller.Answer> answers = new ArrayList<>();
-            for (Future<Caller.Answer> future : futures) {
-                answers.add(future.get());
-            }
-            clients.shutdownNow();
-            String prefix = judged == Judged.LONG ? "long-" : "short-";
-            List<Caller.Answer> chosen = answers.stream().filter(it -> it.request().startsWith(prefix)).toList();
-            return judge(record, List.of(first, second), chosen, sentAt, stoppedAt);
+            return isBroken;
+        }
+    }
+
+    private static boolean isBrokenAt(
+        int machine, int buffers, Fleet fleet, Record record, List<Worker> workers, Judged judged, Caller.Pace pace
+    ) throws Exception {
+        String host = fleet.host(machine);
+        long sentAt = record.millis();
+        ExecutorService clients = Executors.newCachedThreadPool();
+        List<Future<Caller.Answer>> futures = new ArrayList<>();
+        for (int client = 0; client < CLIENTS; client++) {
+            int bytes = buffers + LEAST_BYTES_BESIDE_BUFFERS + client * STEP_BYTES;
+            String id = "long-" + machine + "-" + client;
+            String path = "/long/" + bytes / (EVENT_BYTES + EVENT_FRAME_BYTES);
+            futures.add(clients.submit(() -> Caller.send(record, host, id, path, DEADLINE_MILLIS, pace)));
+        }
+        Thread.sleep(SHORT_AFTER_MILLIS);
+        for (int request = 0; request < SHORT_REQUESTS; request++) {
+            String id = "short-" + machine + "-" + request;
+            futures.add(clients.submit(
+                () -> Caller.send(record, host, id, "/chat/a", DEADLINE_MILLIS, Caller.Pace.FAST)));
+        }
+        Thread.sleep(STOP_AFTER_SHORT_MILLIS);
+        fleet.signal("router", machine, "TERM");
+        long stoppedAt = record.millis();
+        fleet.waitForEnd("router", machine, GRACE_MILLIS + SLACK_MILLIS);
+        List<Caller.Answer> answers = new ArrayList<>();
+        for (Future<Caller.Answer> future : futures) {
+            answers.add(future.get());
         }
+        clients.shutdownNow();
+        String prefix = judged == Judged.LONG ? "long-" : "short-";
+        List<Caller.Answer> chosen = answers.stream().filter(it -> it.request().startsWith(prefix)).toList();
+        return judge(record, workers, chosen, sentAt, stoppedAt);
     }
 
     private static Worker.Work workOf(String path) {
